--- /dev/null
+++ b/src/cmd/change.rs
@@ -0,0 +1,44 @@
+//! Shows one change.
+
+use std::ffi::OsString;
+
+use super::history::row;
+use crate::config::Config;
+use crate::util::{Api, CliError, CliResult, arguments, block_on, table, words};
+
+const USAGE: &str = "
+Shows whether a change was accepted, and as which version.
+
+Usage:
+    tarragon change show [options] ID
+
+Options:
+    --node ADDRESS   admin address of any node [env: TARRAGON_NODE]
+    --json           print JSON
+";
+
+/// Runs the subcommand.
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let mut args = arguments(argv, USAGE)?;
+    let config = Config::take(&mut args)?;
+    let json = config.json;
+    let words = words(args)?;
+    let [verb, id] = &words[..] else {
+        return Err(CliError::Usage(
+            "write `tarragon change show ID`".to_string(),
+        ));
+    };
+    if verb != "show" {
+        return Err(CliError::Usage(format!(
+            "`{verb}` is not known; write `show`"
+        )));
+    }
+    block_on(async {
+        let page = Api::new(config).get(&format!("/v1/change/{id}")).await?;
+        match json {
+            true => println!("{page}"),
+            false => table(&["VERSION", "AUTHOR", "CHANGE", "EDITS"], &[row(&page)]),
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,45 @@
+//! Checks settings files without a network.
+
+use std::ffi::OsString;
+
+use tarragoncourse::state::snapshot::Snapshot;
+use tarragoncourse::state::validate::check_whole;
+
+use crate::util::{CliError, CliResult, arguments, put_all, read_settings, words};
+
+const USAGE: &str = "
+Checks settings files: fields, units, bounds, paths, and references among them.
+
+Usage:
+    tarragon check [options] FILE [FILE ...]
+
+Options:
+    --partial   the files are a part of the configuration: do not report services
+                and teams that they do not hold
+";
+
+/// Runs the subcommand.
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let mut args = arguments(argv, USAGE)?;
+    let partial = args.contains("--partial");
+    let files = words(args)?;
+    let objects = read_settings(&files)?;
+    if !partial {
+        let whole = Snapshot::default().preview(&put_all(&objects));
+        let problems: Vec<String> = check_whole(&whole)
+            .iter()
+            .map(|problem| {
+                let at = objects
+                    .iter()
+                    .find(|(_, o)| o.entry.path == *problem.path());
+                let (file, line) = at.map_or(("-", 0), |(f, o)| (f.as_str(), o.line));
+                format!("{file}:{line}: {problem}")
+            })
+            .collect();
+        if !problems.is_empty() {
+            return Err(CliError::Refused(problems));
+        }
+    }
+    println!("{} objects, no problems", objects.len());
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/delete.rs
@@ -0,0 +1,48 @@
+//! Removes settings.
+
+use std::ffi::OsString;
+
+use tarragoncourse::state::id::Path;
+use tarragoncourse::state::snapshot::Edit;
+
+use crate::config::Config;
+use crate::util::{Api, CliError, CliResult, arguments, block_on, words};
+
+const USAGE: &str = "
+Removes the settings at the given paths, all in one change.
+
+Usage:
+    tarragon delete [options] PATH [PATH ...]
+
+Options:
+    --node ADDRESS   admin address of any node [env: TARRAGON_NODE]
+    --token TOKEN    the team's token [env: TARRAGON_TOKEN]
+";
+
+/// Runs the subcommand.
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let mut args = arguments(argv, USAGE)?;
+    let config = Config::take(&mut args)?;
+    let edits: Vec<Edit> = words(args)?
+        .iter()
+        .map(|p| Path::new(p).map(Edit::Delete))
+        .collect::<Result<_, _>>()
+        .map_err(|e| CliError::Usage(e.to_string()))?;
+    if edits.is_empty() {
+        return Err(CliError::Usage("name a path; see --help".to_string()));
+    }
+    block_on(async {
+        let api = Api::new(config);
+        let (base, held) = api.config().await?;
+        let absent = edits
+            .iter()
+            .find(|e| !held.iter().any(|h| h.path == *e.path()));
+        if let Some(edit) = absent {
+            let message = format!("{} does not exist; see `tarragon get`", edit.path());
+            return Err(CliError::Other(message));
+        }
+        let answer = api.apply(base, &edits, false).await?;
+        println!("{} version={}", answer.verdict, answer.version.unwrap_or(0));
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/cmd/diff.rs
@@ -0,0 +1,50 @@
+//! Shows what files would change.
+
+use std::ffi::OsString;
+
+use tarragoncourse::state::settings::show;
+use tarragoncourse::state::snapshot::Entry;
+
+use crate::config::Config;
+use crate::util::{Api, CliResult, arguments, block_on, read_settings, words};
+
+const USAGE: &str = "
+Shows what `tarragon apply` would change: lines with - go, lines with + come.
+
+Usage:
+    tarragon diff [options] -f FILE [-f FILE ...]
+
+Options:
+    -f FILE          a settings file, YAML
+    --node ADDRESS   admin address of any node [env: TARRAGON_NODE]
+";
+
+/// Runs the subcommand.
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let mut args = arguments(argv, USAGE)?;
+    let files: Vec<String> = args.values_from_str("-f")?;
+    let config = Config::take(&mut args)?;
+    words(args)?;
+    let objects = read_settings(&files)?;
+    block_on(async {
+        let (_, held) = Api::new(config).config().await?;
+        for (_, object) in &objects {
+            let before = held.iter().find(|e| e.path == object.entry.path);
+            print_change(before, &object.entry);
+        }
+        Ok(())
+    })
+}
+
+fn print_change(before: Option<&Entry>, after: &Entry) {
+    let old = before.map(show).unwrap_or_default();
+    let new = show(after);
+    if old == new {
+        return;
+    }
+    println!("{}", after.path);
+    let gone = old.lines().filter(|l| !new.lines().any(|n| n == *l));
+    gone.for_each(|l| println!("- {l}"));
+    let come = new.lines().filter(|l| !old.lines().any(|o| o == *l));
+    come.for_each(|l| println!("+ {l}"));
+}
--- /dev/null
+++ b/src/cmd/dump.rs
@@ -0,0 +1,38 @@
+//! Prints the whole state of one node.
+
+use std::ffi::OsString;
+
+use crate::config::Config;
+use crate::util::{Api, CliError, CliResult, arguments, block_on, words};
+
+const USAGE: &str = "
+Prints the whole state of one node as JSON. Secrets are left out.
+
+Usage:
+    tarragon dump [options] [NODE]
+
+Options:
+    --node ADDRESS   admin address of the node [env: TARRAGON_NODE]
+    --token TOKEN    any team's token [env: TARRAGON_TOKEN]
+";
+
+/// Runs the subcommand.
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let mut argv = argv;
+    // `dump ADDRESS` reads better than `dump --node ADDRESS`; both are taken.
+    if argv
+        .first()
+        .is_some_and(|a| !a.to_string_lossy().starts_with('-'))
+    {
+        argv.insert(0, "--node".into());
+    }
+    let mut args = arguments(argv, USAGE)?;
+    let config = Config::take(&mut args)?;
+    words(args)?;
+    block_on(async {
+        let page = Api::new(config).get("/v1/dump").await?;
+        let text = serde_json::to_string_pretty(&page);
+        println!("{}", text.map_err(|e| CliError::Other(e.to_string()))?);
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/cmd/get.rs
@@ -0,0 +1,53 @@
+//! Prints settings.
+
+use std::ffi::OsString;
+
+use tarragoncourse::protocol::wire::WireEntry;
+use tarragoncourse::state::settings::show;
+
+use crate::config::Config;
+use crate::util::{Api, CliResult, arguments, block_on, words};
+
+const USAGE: &str = "
+Prints the settings in force at one node, as YAML that `tarragon apply` takes.
+
+Usage:
+    tarragon get [options] [PATH]
+
+Prints only PATH and what lies under it, if PATH is given.
+
+Options:
+    --node ADDRESS   admin address of any node [env: TARRAGON_NODE]
+    --json           print JSON
+";
+
+/// Runs the subcommand.
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let mut args = arguments(argv, USAGE)?;
+    let config = Config::take(&mut args)?;
+    let json = config.json;
+    let paths = words(args)?;
+    block_on(async {
+        let (version, mut entries) = Api::new(config).config().await?;
+        entries.retain(|e| paths.is_empty() || paths.iter().any(|p| is_under(e.path.as_str(), p)));
+        if json {
+            let wires: Vec<WireEntry> = entries.iter().map(WireEntry::from).collect();
+            println!(
+                "{}",
+                serde_json::json!({ "version": version.0, "entries": wires })
+            );
+            return Ok(());
+        }
+        println!("# version {version}");
+        let documents: Vec<String> = entries.iter().map(show).collect();
+        print!("{}", documents.join("---\n"));
+        Ok(())
+    })
+}
+
+fn is_under(path: &str, root: &str) -> bool {
+    path == root
+        || path
+            .strip_prefix(root)
+            .is_some_and(|rest| rest.starts_with('/'))
+}
--- /dev/null
+++ b/src/cmd/history.rs
@@ -0,0 +1,56 @@
+//! Lists the newest changes.
+
+use std::ffi::OsString;
+
+use serde_json::Value;
+
+use crate::config::Config;
+use crate::util::{Api, CliResult, arguments, block_on, table, words};
+
+const USAGE: &str = "
+Lists the newest changes, newest first.
+
+Usage:
+    tarragon history [options]
+
+Options:
+    --limit N        how many [default: 20]
+    --node ADDRESS   admin address of any node [env: TARRAGON_NODE]
+    --json           print JSON
+";
+
+/// Runs the subcommand.
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let mut args = arguments(argv, USAGE)?;
+    let limit: Option<u64> = args.opt_value_from_str("--limit")?;
+    let config = Config::take(&mut args)?;
+    let json = config.json;
+    words(args)?;
+    block_on(async {
+        let path = format!("/v1/history?limit={}", limit.unwrap_or(20));
+        let page = Api::new(config).get(&path).await?;
+        if json {
+            println!("{page}");
+            return Ok(());
+        }
+        let rows: Vec<Vec<String>> = page.as_array().into_iter().flatten().map(row).collect();
+        table(&["VERSION", "AUTHOR", "CHANGE", "EDITS"], &rows);
+        Ok(())
+    })
+}
+
+/// One change as cells: version, author, id, paths.
+pub fn row(change: &Value) -> Vec<String> {
+    let edits = change["edits"].as_array().into_iter().flatten();
+    let path = |e: &Value| match e["put"].as_str() {
+        Some(path) => format!("+{path}"),
+        None => format!("-{}", e["delete"].as_str().unwrap_or("?")),
+    };
+    let paths: Vec<String> = edits.map(path).collect();
+    vec![
+        change["version"].to_string(),
+        change["author"].as_str().unwrap_or("?").to_string(),
+        change["change"].as_str().unwrap_or("?").to_string(),
+        paths.join(" "),
+    ]
+}
--- /dev/null
+++ b/src/cmd/load.rs
@@ -0,0 +1,163 @@
+//! Sends requests and checks every answer.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use tarragoncourse::load::{LoadPlan, LoadReport, LoadRoute, Told, run as send};
+use tarragoncourse::state::units::{parse_duration, parse_size};
+
+use crate::util::{CliError, CliResult, arguments, block_on, table, words};
+
+const USAGE: &str = "
+Sends requests at a steady rate, whatever the answers do (open loop), and checks
+that each answer belongs to its own request and is whole. The targets must be
+stand-ins.
+
+Usage:
+    tarragon load [options] --to ADDRESS [--to ADDRESS ...] --route SPEC [--route SPEC ...]
+
+SPEC is METHOD,HOST,PATH[,weight=N][,body=SIZE][,answer=SIZE][,keyed], as in
+    --route POST,guild.example,/cutting,weight=3,body=2KiB
+
+Options:
+    --to ADDRESS    callers' address of a node
+    --route SPEC    one kind of request
+    --rate N        requests each second [default: 100]
+    --time TIME     how long to send [default: 10s]
+    --timeout TIME  when a caller gives up [default: 30s]
+    --seed N        seed of arrivals, mix and ids [default: 1]
+    --json          print JSON
+
+Exit code 1 when an answer was wrong.
+";
+
+struct Args {
+    plan: LoadPlan,
+    json: bool,
+}
+
+impl Args {
+    fn parse(argv: Vec<OsString>) -> CliResult<Args> {
+        let mut args = arguments(argv, USAGE)?;
+        let specs: Vec<String> = args.values_from_str("--route")?;
+        let mix: CliResult<Vec<LoadRoute>> = specs.iter().map(|s| route(s)).collect();
+        let nodes: Vec<SocketAddr> = args.values_from_str("--to")?;
+        let rate: Option<f64> = args.opt_value_from_str("--rate")?;
+        let plan = LoadPlan {
+            nodes,
+            rate: rate.unwrap_or(100.0),
+            time: time(&mut args, "--time", "10s")?,
+            mix: mix?,
+            seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+            timeout: time(&mut args, "--timeout", "30s")?,
+        };
+        let json = args.contains("--json");
+        words(args)?;
+        if plan.nodes.is_empty() || plan.mix.is_empty() {
+            return Err(CliError::Usage(
+                "give --to and --route; see --help".to_string(),
+            ));
+        }
+        Ok(Args { plan, json })
+    }
+}
+
+fn time(args: &mut pico_args::Arguments, name: &'static str, default: &str) -> CliResult<Duration> {
+    let text: Option<String> = args.opt_value_from_str(name)?;
+    let text = text.as_deref().unwrap_or(default);
+    parse_duration(text).map_err(|e| CliError::Usage(format!("{name}: {e}")))
+}
+
+fn route(spec: &str) -> CliResult<LoadRoute> {
+    let wrong = |why: &str| CliError::Usage(format!("--route {spec}: {why}"));
+    let mut fields = spec.split(',');
+    let (Some(method), Some(host), Some(path)) = (fields.next(), fields.next(), fields.next())
+    else {
+        return Err(wrong("write METHOD,HOST,PATH"));
+    };
+    let mut route = LoadRoute {
+        name: format!("{method} {path}"),
+        method: Method::from_bytes(method.as_bytes()).map_err(|_| wrong("no such method"))?,
+        host: host.to_string(),
+        path: path.to_string(),
+        weight: 1.0,
+        body: 0,
+        answer: 0,
+        keyed: false,
+    };
+    for field in fields {
+        let size = |v: &str| parse_size(v).map_err(|e| wrong(&e.to_string()));
+        match field.split_once('=') {
+            Some(("weight", v)) => {
+                route.weight = v.parse().map_err(|_| wrong("weight is a number"))?
+            }
+            Some(("body", v)) => route.body = size(v)? as usize,
+            Some(("answer", v)) => route.answer = size(v)? as usize,
+            None if field == "keyed" => route.keyed = true,
+            _ => return Err(wrong(&format!("`{field}` is not known"))),
+        }
+    }
+    Ok(route)
+}
+
+/// Runs the subcommand.
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let args = Args::parse(argv)?;
+    block_on(async {
+        let report = send(&args.plan).await;
+        match args.json {
+            true => print_json(&args.plan, &report),
+            false => print(&args.plan, &report),
+        }
+        match report.count(Told::Wrong) {
+            0 => Ok(()),
+            n => Err(CliError::Other(format!("{n} answers were wrong"))),
+        }
+    })
+}
+
+/// Prints a table: one row for each kind of request, then the reasons.
+pub fn print(plan: &LoadPlan, report: &LoadReport) {
+    let ms = |us: u64| format!("{:.2}", us as f64 / 1000.0);
+    let row = |(at, route): (usize, &LoadRoute)| {
+        let latency = report.latency(Some(at));
+        let count = |told: Told| {
+            let records = report
+                .records
+                .iter()
+                .filter(|r| r.route == at && r.told == told);
+            records.count().to_string()
+        };
+        let mut cells = vec![route.name.clone()];
+        cells.extend(Told::ALL.map(count));
+        cells.extend([0.5, 0.99, 0.999].map(|q| ms(latency.value_at_quantile(q))));
+        cells
+    };
+    let rows: Vec<Vec<String>> = plan.mix.iter().enumerate().map(row).collect();
+    let mut head = vec!["ROUTE"];
+    head.extend(Told::ALL.map(Told::name));
+    head.extend(["p50 ms", "p99 ms", "p99.9 ms"]);
+    table(&head, &rows);
+    for (reason, count) in report.reasons() {
+        println!("{count:>8}  {reason}");
+    }
+}
+
+fn print_json(plan: &LoadPlan, report: &LoadReport) {
+    let latency = report.latency(None);
+    let told: serde_json::Map<String, serde_json::Value> = Told::ALL
+        .into_iter()
+        .map(|t| (t.name().to_string(), report.count(t).into()))
+        .collect();
+    let page = serde_json::json!({
+        "seed": plan.seed,
+        "rate": plan.rate,
+        "told": told,
+        "p50_us": latency.value_at_quantile(0.5),
+        "p99_us": latency.value_at_quantile(0.99),
+        "p999_us": latency.value_at_quantile(0.999),
+    });
+    println!("{page}");
+}
--- /dev/null
+++ b/src/coordination/health.rs
@@ -0,0 +1,99 @@
+//! Health of the target beside a node, from evidence rather than from what the target says.
+//!
+//! Health pages lag and mislead, so a page alone never takes a target out: it counts only while
+//! no request has been answered lately. Connections and answers count at once.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::state::member::Health;
+
+/// Interval between probes of the target.
+pub const TARGET_PROBE: Duration = Duration::from_millis(500);
+/// Failed probes in a row that take a target out.
+const FAILURES_DOWN: u32 = 2;
+/// Time for which an answered request overrules a failing health page.
+const ANSWER_LIFE: Duration = Duration::from_secs(3);
+
+/// What one probe of the target found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetProbe {
+    /// No connection was made.
+    Refused,
+    /// Connected; there is no health page, or it says that all is well.
+    Fine,
+    /// Connected; the health page says otherwise.
+    PageFails,
+}
+
+/// The health state machine of one target.
+#[derive(Debug)]
+pub struct TargetHealth {
+    up_since: Option<Instant>,
+    failures: u32,
+    answered: Option<Instant>,
+}
+
+impl Default for TargetHealth {
+    fn default() -> Self {
+        TargetHealth {
+            up_since: None,
+            failures: FAILURES_DOWN,
+            answered: None,
+        }
+    }
+}
+
+impl TargetHealth {
+    /// A request was answered by the target.
+    pub fn answered(&mut self, now: Instant) {
+        self.answered = Some(now);
+    }
+
+    /// Whether a request was answered within the last probe interval.
+    pub fn answered_lately(&self, now: Instant) -> bool {
+        self.answered.is_some_and(|at| now - at < TARGET_PROBE)
+    }
+
+    /// Takes a probe in.
+    pub fn probed(&mut self, probe: TargetProbe, now: Instant) {
+        let lately = |at: Instant| now - at < ANSWER_LIFE;
+        let bad = match probe {
+            TargetProbe::Fine => false,
+            TargetProbe::Refused => true,
+            TargetProbe::PageFails => !self.answered.is_some_and(lately),
+        };
+        if !bad {
+            self.failures = 0;
+            self.up_since.get_or_insert(now);
+            return;
+        }
+        self.failures = (self.failures + 1).min(FAILURES_DOWN);
+        if self.failures == FAILURES_DOWN {
+            self.up_since = None;
+        }
+    }
+
+    /// The health to publish. A target is cold until it has been up for `ramp`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tarragoncourse::coordination::health::{TargetHealth, TargetProbe};
+    /// use tarragoncourse::state::member::Health;
+    /// use tokio::time::Instant;
+    ///
+    /// let now = Instant::now();
+    /// let mut health = TargetHealth::default();
+    /// assert_eq!(health.state(Duration::ZERO, now), Health::Down);
+    /// health.probed(TargetProbe::Fine, now);
+    /// assert_eq!(health.state(Duration::from_secs(5), now), Health::Cold);
+    /// ```
+    pub fn state(&self, ramp: Duration, now: Instant) -> Health {
+        match self.up_since {
+            None => Health::Down,
+            Some(since) if now - since < ramp => Health::Cold,
+            Some(_) => Health::Ready,
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/outcome.rs
@@ -0,0 +1,139 @@
+//! How an attempt to run a request ended, and the evidence each end needs.
+
+use derive_more::Display;
+
+/// Header that tells a caller, or the node before, how the request ended.
+pub const OUTCOME_HEADER: &str = "tarragon-outcome";
+
+/// Why a request was not run. Each reason is evidence that the target did not see it.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum NotRun {
+    /// No connection to the gate was made, so no byte was written.
+    #[display("unreachable")]
+    Unreachable,
+    /// The gate is stopping, or its target is.
+    #[display("leaving")]
+    Leaving,
+    /// The gate's queue for the class is full.
+    #[display("queue-full")]
+    QueueFull,
+    /// The gate expects that the deadline would pass in the queue, or it did.
+    #[display("deadline")]
+    Deadline,
+    /// The gate fenced the attempt before it was handed to the target.
+    #[display("voided")]
+    Voided,
+    /// The request was sent to an earlier life of the gate.
+    #[display("incarnation")]
+    Incarnation,
+    /// The request was too long under way, or the instances' clocks differ too much.
+    #[display("stale")]
+    Stale,
+    /// The request did not prove that it came from a node of the fleet.
+    #[display("not-authentic")]
+    NotAuthentic,
+    /// The target said that it shed the request.
+    #[display("shed")]
+    Shed,
+    /// The service has no target that takes work.
+    #[display("no-target")]
+    NoTarget,
+    /// The claim on the idempotency key could not be made.
+    #[display("claim-unavailable")]
+    ClaimUnavailable,
+    /// The node does not hold a current configuration yet, or holds none for the request.
+    #[display("not-ready")]
+    NotReady,
+    /// The caller broke off before the whole request was read.
+    #[display("caller-gone")]
+    CallerGone,
+    /// The node's bound on requests in progress is reached.
+    #[display("overloaded")]
+    Overloaded,
+}
+
+impl NotRun {
+    const ALL: [NotRun; 14] = [
+        NotRun::Unreachable,
+        NotRun::Leaving,
+        NotRun::QueueFull,
+        NotRun::Deadline,
+        NotRun::Voided,
+        NotRun::Incarnation,
+        NotRun::Stale,
+        NotRun::NotAuthentic,
+        NotRun::Shed,
+        NotRun::NoTarget,
+        NotRun::ClaimUnavailable,
+        NotRun::NotReady,
+        NotRun::CallerGone,
+        NotRun::Overloaded,
+    ];
+}
+
+/// Why it is not known whether a request ran.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Doubt {
+    /// The link broke after bytes were written, and the gate could not vouch.
+    #[display("link-broken")]
+    LinkBroken,
+    /// The target's connection broke after the request was handed over.
+    #[display("target-broken")]
+    TargetBroken,
+    /// The deadline passed after the request was handed over.
+    #[display("timeout")]
+    Timeout,
+    /// An earlier request with the same idempotency key has no known outcome.
+    #[display("key-in-doubt")]
+    KeyInDoubt,
+}
+
+impl Doubt {
+    const ALL: [Doubt; 4] = [
+        Doubt::LinkBroken,
+        Doubt::TargetBroken,
+        Doubt::Timeout,
+        Doubt::KeyInDoubt,
+    ];
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// The target answered.
+    #[display("answered")]
+    Answered,
+    /// The target did not run the request, and never will.
+    #[display("not-run; {_0}")]
+    NotRun(NotRun),
+    /// The target may or may not have run the request.
+    #[display("unknown; {_0}")]
+    Unknown(Doubt),
+}
+
+impl Outcome {
+    /// Reads the value of [`OUTCOME_HEADER`].
+    ///
+    /// ```
+    /// use tarragoncourse::coordination::outcome::{NotRun, Outcome};
+    /// let refused = Outcome::NotRun(NotRun::Shed);
+    /// assert_eq!(Outcome::parse(&refused.to_string()), Some(refused));
+    /// ```
+    pub fn parse(text: &str) -> Option<Outcome> {
+        if text == "answered" {
+            return Some(Outcome::Answered);
+        }
+        let (end, reason) = text.split_once("; ")?;
+        match end {
+            "not-run" => NotRun::ALL
+                .into_iter()
+                .find(|r| r.to_string() == reason)
+                .map(Outcome::NotRun),
+            "unknown" => Doubt::ALL
+                .into_iter()
+                .find(|d| d.to_string() == reason)
+                .map(Outcome::Unknown),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/pick.rs
@@ -0,0 +1,283 @@
+//! Picking a target: power of two choices, the own zone first, cold targets ramped up, failing
+//! ones ejected for a while and let back slowly.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::state::id::Incarnation;
+use crate::state::member::Health;
+use crate::state::routing::Candidate;
+
+/// Load beyond which other zones are considered: the share of slots in use.
+const ZONE_SPILL: f64 = 0.8;
+/// Smallest share of its slots that a cold target gets.
+const RAMP_FLOOR: f64 = 0.1;
+/// Failures in a row that eject a target.
+const FAILURES_TO_EJECT: u32 = 3;
+/// First ejection; doubled with each further one.
+const EJECT_BASE: Duration = Duration::from_secs(1);
+/// Longest ejection.
+const EJECT_MAX: Duration = Duration::from_secs(30);
+/// Largest share of a service's targets that may be ejected at once.
+const EJECT_SHARE: f64 = 0.34;
+/// Answers after which a returning target is trusted.
+const TRIAL_ANSWERS: u32 = 3;
+/// Time for which a reported load counts; it fades linearly.
+const REPORT_LIFE: Duration = Duration::from_millis(500);
+/// Time after which an unused target's history is dropped.
+const HISTORY: Duration = Duration::from_secs(300);
+/// Factor on the load of a target whose node is suspect.
+const SUSPECT_PENALTY: f64 = 4.0;
+
+#[derive(Debug)]
+struct Stat {
+    incarnation: Incarnation,
+    in_flight: u32,
+    reported: u32,
+    reported_at: Instant,
+    first: Instant,
+    used: Instant,
+    failures: u32,
+    ejections: u32,
+    until: Option<Instant>,
+    trial: u32,
+}
+
+impl Stat {
+    fn new(incarnation: Incarnation, now: Instant) -> Stat {
+        Stat {
+            incarnation,
+            in_flight: 0,
+            reported: 0,
+            reported_at: now,
+            first: now,
+            used: now,
+            failures: 0,
+            ejections: 0,
+            until: None,
+            trial: 0,
+        }
+    }
+
+    /// Attempts believed to be at the target: those of this node, or those reported if more.
+    fn load(&self, now: Instant) -> f64 {
+        let age = (now - self.reported_at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
+        let reported = f64::from(self.reported) * (1.0 - age).max(0.0);
+        f64::from(self.in_flight).max(reported)
+    }
+
+    /// Whether the target is out, or back on trial and already busy with one attempt.
+    fn is_out(&self, now: Instant) -> bool {
+        match self.until {
+            Some(until) if now < until => true,
+            Some(_) => self.in_flight > 0,
+            None => false,
+        }
+    }
+}
+
+/// How an attempt went, as far as it tells of the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It answered; the gate reported this load.
+    Answered(u32),
+    /// It refused; it is alive but has no room.
+    Refused(u32),
+    /// It could not be reached, or broke off.
+    Failed,
+    /// The caller went away first.
+    Abandoned,
+}
+
+/// The picker of one node, with what it has seen of each target.
+#[derive(Debug)]
+pub struct Picker {
+    stats: HashMap<SocketAddr, Stat>,
+    rng: fastrand::Rng,
+    ejected: u64,
+}
+
+impl Picker {
+    /// A picker that has seen nothing.
+    pub fn new(rng: fastrand::Rng) -> Picker {
+        Picker {
+            stats: HashMap::new(),
+            rng,
+            ejected: 0,
+        }
+    }
+
+    /// Ejections since start.
+    pub fn ejected(&self) -> u64 {
+        self.ejected
+    }
+
+    /// Picks a target that was not tried yet, and counts an attempt as sent to it.
+    pub fn pick<'a>(
+        &mut self,
+        candidates: &'a [Candidate],
+        zone: &str,
+        tried: &[SocketAddr],
+        now: Instant,
+    ) -> Option<&'a Candidate> {
+        self.sync(candidates, now);
+        let open: SmallVec<[&Candidate; 16]> = candidates
+            .iter()
+            .filter(|c| !tried.contains(&c.peer))
+            .collect();
+        let usable: SmallVec<[&Candidate; 16]> = open
+            .iter()
+            .filter(|c| !self.stats[&c.peer].is_out(now))
+            .copied()
+            .collect();
+        // With every target out, an ejected one is better than none.
+        let pool = if usable.is_empty() { &open } else { &usable };
+        let chosen = self.choose(pool, zone, now)?;
+        let stat = self.stats.get_mut(&chosen.peer).expect("synced above");
+        stat.in_flight += 1;
+        stat.used = now;
+        Some(chosen)
+    }
+
+    /// An attempt sent to a target ended. `share` holds the service's candidates.
+    pub fn done(&mut self, peer: SocketAddr, sign: Sign, share: &[Candidate], now: Instant) {
+        let may_eject = self.may_eject(share, now);
+        let Some(stat) = self.stats.get_mut(&peer) else {
+            return;
+        };
+        stat.in_flight = stat.in_flight.saturating_sub(1);
+        match sign {
+            Sign::Answered(load) => {
+                stat.failures = 0;
+                stat.reported = load;
+                stat.reported_at = now;
+                restore(stat);
+            }
+            Sign::Refused(load) => {
+                stat.reported = load;
+                stat.reported_at = now;
+            }
+            Sign::Abandoned => {}
+            Sign::Failed => {
+                stat.failures += 1;
+                let on_trial = stat.until.is_some();
+                if may_eject && (on_trial || stat.failures >= FAILURES_TO_EJECT) {
+                    eject(stat, now);
+                    self.ejected += 1;
+                }
+            }
+        }
+    }
+
+    /// Attempts of this node at a target.
+    pub fn in_flight(&self, peer: &SocketAddr) -> u32 {
+        self.stats.get(peer).map_or(0, |s| s.in_flight)
+    }
+
+    /// Whether a target is ejected now.
+    pub fn is_ejected(&self, peer: &SocketAddr, now: Instant) -> bool {
+        let until = self.stats.get(peer).and_then(|s| s.until);
+        until.is_some_and(|u| now < u)
+    }
+
+    /// Drops the history of targets that were not used for long.
+    pub fn forget(&mut self, now: Instant) {
+        self.stats
+            .retain(|_, s| s.in_flight > 0 || now - s.used < HISTORY);
+    }
+
+    fn sync(&mut self, candidates: &[Candidate], now: Instant) {
+        for c in candidates {
+            let fresh = || Stat::new(c.incarnation, now);
+            let stat = self.stats.entry(c.peer).or_insert_with(fresh);
+            if stat.incarnation != c.incarnation {
+                let in_flight = stat.in_flight;
+                *stat = Stat::new(c.incarnation, now);
+                stat.in_flight = in_flight;
+            }
+        }
+    }
+
+    fn choose<'a>(
+        &mut self,
+        pool: &[&'a Candidate],
+        zone: &str,
+        now: Instant,
+    ) -> Option<&'a Candidate> {
+        let near: SmallVec<[&Candidate; 16]> =
+            pool.iter().filter(|c| &*c.zone == zone).copied().collect();
+        if let Some(best) = self.better_of_two(&near, now)
+            && self.score(best, now) < ZONE_SPILL
+        {
+            return Some(best);
+        }
+        self.better_of_two(pool, now)
+    }
+
+    fn better_of_two<'a>(&mut self, pool: &[&'a Candidate], now: Instant) -> Option<&'a Candidate> {
+        if pool.len() < 2 {
+            return pool.first().copied();
+        }
+        let a = self.rng.usize(..pool.len());
+        let b = (a + 1 + self.rng.usize(..pool.len() - 1)) % pool.len();
+        let (a, b) = (pool[a], pool[b]);
+        if self.score(b, now) < self.score(a, now) {
+            return Some(b);
+        }
+        Some(a)
+    }
+
+    /// Share of the slots in use after one more attempt; lower is better.
+    fn score(&self, c: &Candidate, now: Instant) -> f64 {
+        let Some(stat) = self.stats.get(&c.peer) else {
+            return 0.0;
+        };
+        let slots = f64::from(c.slots.max(1)) * ramp(c, stat, now);
+        let penalty = if c.health == Health::Suspect {
+            SUSPECT_PENALTY
+        } else {
+            1.0
+        };
+        (stat.load(now) + 1.0) / slots * penalty
+    }
+
+    fn may_eject(&self, share: &[Candidate], now: Instant) -> bool {
+        let out = share
+            .iter()
+            .filter(|c| self.is_ejected(&c.peer, now))
+            .count();
+        let most = (share.len() as f64 * EJECT_SHARE).ceil() as usize;
+        out < most.min(share.len().saturating_sub(1))
+    }
+}
+
+fn ramp(c: &Candidate, stat: &Stat, now: Instant) -> f64 {
+    if c.health != Health::Cold || c.ramp.is_zero() {
+        return 1.0;
+    }
+    let age = (now - stat.first).as_secs_f64() / c.ramp.as_secs_f64();
+    age.clamp(RAMP_FLOOR, 1.0)
+}
+
+fn restore(stat: &mut Stat) {
+    if stat.until.is_none() {
+        return;
+    }
+    stat.trial += 1;
+    if stat.trial >= TRIAL_ANSWERS {
+        stat.until = None;
+        stat.ejections = 0;
+    }
+}
+
+fn eject(stat: &mut Stat, now: Instant) {
+    let wait = EJECT_BASE * 2u32.saturating_pow(stat.ejections.min(8));
+    stat.until = Some(now + wait.min(EJECT_MAX));
+    stat.ejections += 1;
+    stat.trial = 0;
+    stat.failures = 0;
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,80 @@
+//! The operators' command line.
+
+mod cmd;
+mod config;
+mod util;
+
+use std::process::ExitCode;
+
+use util::{CliError, CliResult};
+
+const USAGE: &str = "
+Writes and reads the settings of a service mesh, and measures it.
+
+Usage:
+    tarragon <command> [options]
+    tarragon <command> --help
+
+Commands:
+    apply       put settings from files into force
+    change      show one change
+    check       check settings files without a network
+    delete      remove settings
+    demo        run a small fleet in this process and show what it does
+    diff        show what files would change
+    drain       take a target out of service, or back
+    dump        print the whole state of one node
+    experiment  measure convergence, control bytes and latency
+    get         print settings
+    history     list the newest changes
+    load        send requests and check every answer
+    status      show nodes and services
+    token       make a token and its salted hash
+    undo        put an older version's content into force as a new version
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 settings refused,
+4 conflict with another change, 5 result unknown.
+";
+
+fn main() -> ExitCode {
+    let mut argv: Vec<std::ffi::OsString> = std::env::args_os().skip(1).collect();
+    if argv.is_empty() || argv[0] == "--help" || argv[0] == "help" {
+        println!("{}", USAGE.trim());
+        return ExitCode::SUCCESS;
+    }
+    let command = argv.remove(0);
+    match dispatch(&command.to_string_lossy(), argv) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(CliError::Help(usage)) => {
+            println!("{}", usage.trim());
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("tarragon: {e}");
+            ExitCode::from(e.code())
+        }
+    }
+}
+
+fn dispatch(command: &str, argv: Vec<std::ffi::OsString>) -> CliResult<()> {
+    match command {
+        "apply" => cmd::apply::run(argv),
+        "change" => cmd::change::run(argv),
+        "check" => cmd::check::run(argv),
+        "delete" => cmd::delete::run(argv),
+        "demo" => cmd::demo::run(argv),
+        "diff" => cmd::diff::run(argv),
+        "drain" => cmd::drain::run(argv),
+        "dump" => cmd::dump::run(argv),
+        "experiment" => cmd::experiment::run(argv),
+        "get" => cmd::get::run(argv),
+        "history" => cmd::history::run(argv),
+        "load" => cmd::load::run(argv),
+        "status" => cmd::status::run(argv),
+        "token" => cmd::token::run(argv),
+        "undo" => cmd::undo::run(argv),
+        other => Err(CliError::Usage(format!(
+            "command `{other}` is not known; see `tarragon --help`"
+        ))),
+    }
+}
--- /dev/null
+++ b/src/node/api.rs
@@ -0,0 +1,372 @@
+//! The operators' API: changes, reads, status, dump, metrics and probes.
+
+use std::sync::Arc;
+
+use gotham::helpers::http::Body;
+use hyper::header::AUTHORIZATION;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+
+use super::store::HISTORY_MAX;
+use super::{Node, lock};
+use crate::coordination::commit::{ChangeRecord, Request as ChangeRequest, Verdict};
+use crate::protocol::key::token_matches;
+use crate::protocol::operators::{ApplyAnswer, ApplyBody};
+use crate::protocol::peer::{PeerReply, PeerRequest};
+use crate::protocol::wire::{WireEntry, convert};
+use crate::state::id::{ChangeId, Path, Version, parse_hex};
+use crate::state::object::Object;
+use crate::state::snapshot::Edit;
+use crate::state::validate::{ADMIN, check_owner, check_whole};
+use crate::transport::http::{Endpoint, full, json as json_response, read_body};
+use crate::transport::link::{REQUEST_TIMEOUT, ask};
+use crate::transport::platform::Platform;
+
+/// Largest change, in bytes of JSON; its record must fit into one value of the platform.
+const CHANGE_MAX: usize = 900 << 10;
+/// Members asked for their version at once.
+const ASKED_AT_ONCE: usize = 64;
+/// Members asked for their version in all; a larger fleet is sampled.
+const ASKED_MAX: usize = 1000;
+
+#[derive(Debug, Deserialize)]
+struct UndoBody {
+    change: String,
+    version: u64,
+}
+
+/// HTTP service for operators.
+pub(super) struct Api<P>(pub(super) Arc<Node<P>>);
+
+impl<P: Platform> Endpoint for Api<P> {
+    async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path().trim_matches('/').to_string();
+        let segments: Vec<&str> = path.split('/').collect();
+        let query = parts.uri.query().unwrap_or_default();
+        let node = &self.0;
+        match (&parts.method, &segments[..]) {
+            (&Method::GET, ["live"]) => text(StatusCode::OK, "live\n"),
+            (&Method::GET, ["ready"]) => node.api_ready(),
+            (&Method::GET, ["metrics"]) => node.api_metrics(),
+            (&Method::GET, ["v1", "config"]) => node.api_config(),
+            (&Method::GET, ["v1", "status"]) => node.api_status(),
+            (&Method::GET, ["v1", "convergence"]) => node.api_convergence(query).await,
+            (&Method::GET, ["v1", "history"]) => node.api_history(query).await,
+            (&Method::GET, ["v1", "change", id]) => node.api_change(id).await,
+            (&Method::GET, ["v1", "dump"]) => match node.author(&parts.headers) {
+                Some(_) => json_response(StatusCode::OK, &node.dump()),
+                None => unauthorized(),
+            },
+            (&Method::POST, ["v1", "apply"]) => match node.author(&parts.headers) {
+                Some(author) => node.api_apply(author, body).await,
+                None => unauthorized(),
+            },
+            (&Method::POST, ["v1", "undo"]) => match node.author(&parts.headers) {
+                Some(author) => node.api_undo(author, body).await,
+                None => unauthorized(),
+            },
+            _ => text(
+                StatusCode::NOT_FOUND,
+                "no such page; see docs/OPERATIONS.md\n",
+            ),
+        }
+    }
+}
+
+impl<P: Platform> Node<P> {
+    /// The team whose token a request bears.
+    fn author(&self, headers: &HeaderMap) -> Option<String> {
+        let bearer = headers.get(AUTHORIZATION)?.to_str().ok()?;
+        let token = bearer.strip_prefix("Bearer ")?;
+        let admin = self.settings.admin_token_hash.as_deref();
+        if admin.is_some_and(|stored| token_matches(token, stored)) {
+            return Some(ADMIN.to_string());
+        }
+        let config = lock(&self.distribution).held().clone();
+        let team = |path: &Path, object: &Object| match object {
+            Object::Team(t) if token_matches(token, &t.token_hash) => Some(path.to_string()),
+            _ => None,
+        };
+        config.entries().find_map(|e| team(&e.path, &e.object))
+    }
+
+    fn api_ready(&self) -> Response<Body> {
+        if self.is_ready() && !self.is_leaving() {
+            return text(StatusCode::OK, "ready\n");
+        }
+        text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+
+    fn api_metrics(&self) -> Response<Body> {
+        let media = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        full(StatusCode::OK, media, self.metrics.encode(&self.levels()))
+    }
+
+    fn api_config(&self) -> Response<Body> {
+        let config = lock(&self.distribution).held().clone();
+        let entries: Vec<WireEntry> = config.entries().map(WireEntry::from).collect();
+        let answer = json!({
+            "version": config.version().0,
+            "digest": config.digest().to_string(),
+            "entries": entries,
+        });
+        json_response(StatusCode::OK, &answer)
+    }
+
+    fn api_status(&self) -> Response<Body> {
+        let table = self.routing.load_full();
+        let members = lock(&self.members);
+        let nodes: Vec<Value> = members
+            .table()
+            .records()
+            .map(|r| {
+                json!({
+                    "peer": r.peer.to_string(),
+                    "zone": &*r.zone,
+                    "state": r.health.to_string(),
+                    "instance": r.target.as_ref().map(|t| t.instance.to_string()),
+                    "service": r.target.as_ref().map(|t| t.service.to_string()),
+                    "watcher": r.watcher,
+                })
+            })
+            .collect();
+        let services: Vec<Value> = table
+            .services()
+            .map(|(path, s)| json!({ "path": path.to_string(), "targets": s.candidates.len() }))
+            .collect();
+        let answer = json!({
+            "instance": self.settings.instance,
+            "version": table.version().0,
+            "ready": self.is_ready(),
+            "nodes": nodes,
+            "services": services,
+        });
+        json_response(StatusCode::OK, &answer)
+    }
+
+    /// How many members have a version in force.
+    async fn api_convergence(self: &Arc<Self>, query: &str) -> Response<Body> {
+        let wanted = Version(parameter(query, "version").unwrap_or(self.version().0));
+        let peers = lock(&self.members).sample(ASKED_MAX);
+        let mut versions = vec![("self".to_string(), Some(self.version().0))];
+        for chunk in peers.chunks(ASKED_AT_ONCE) {
+            let mut asks = JoinSet::new();
+            for peer in chunk.iter().copied() {
+                let node = self.clone();
+                asks.spawn(async move { (peer, node.held_by(peer).await) });
+            }
+            while let Some(Ok((peer, version))) = asks.join_next().await {
+                versions.push((peer.to_string(), version.map(|v| v.0)));
+            }
+        }
+        let behind = |v: &&(String, Option<u64>)| v.1.is_none_or(|held| held < wanted.0);
+        let late: Vec<&String> = versions.iter().filter(behind).map(|(p, _)| p).collect();
+        let answer = json!({
+            "version": wanted.0,
+            "asked": versions.len(),
+            "in_force": versions.len() - late.len(),
+            "late": late,
+            "versions": versions,
+        });
+        json_response(StatusCode::OK, &answer)
+    }
+
+    async fn held_by(&self, peer: std::net::SocketAddr) -> Option<Version> {
+        match ask(&self.key, peer, &PeerRequest::Held, REQUEST_TIMEOUT).await {
+            Ok((PeerReply::Held(version), _)) => Some(version),
+            _ => None,
+        }
+    }
+
+    async fn api_history(&self, query: &str) -> Response<Body> {
+        let most = parameter(query, "limit").unwrap_or(20) as usize;
+        match self.history(Version(0), most).await {
+            Ok(records) => {
+                let list: Vec<Value> = records.iter().map(summary).collect();
+                json_response(StatusCode::OK, &list)
+            }
+            Err(e) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{e}\n")),
+        }
+    }
+
+    async fn api_change(&self, id: &str) -> Response<Body> {
+        let Some(id) = parse_hex(id).map(ChangeId) else {
+            return text(
+                StatusCode::BAD_REQUEST,
+                "a change id has 32 hexadecimal digits; correct it\n",
+            );
+        };
+        match self.history(Version(0), HISTORY_MAX).await {
+            Ok(records) => match records.iter().find(|r| r.delta.change == id) {
+                Some(record) => json_response(StatusCode::OK, &summary(record)),
+                None => text(
+                    StatusCode::NOT_FOUND,
+                    "this change was not accepted within the last 1000 versions\n",
+                ),
+            },
+            Err(e) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{e}\n")),
+        }
+    }
+
+    async fn api_apply(self: &Arc<Self>, author: String, body: Body) -> Response<Body> {
+        let parsed = match read_json::<ApplyBody>(body).await {
+            Ok(parsed) => parsed,
+            Err(response) => return response,
+        };
+        let (Some(change), Ok(edits)) = (parse_hex(&parsed.change), convert(parsed.edits)) else {
+            return text(
+                StatusCode::BAD_REQUEST,
+                "the change is malformed; use a `tarragon` of this version\n",
+            );
+        };
+        let request = ChangeRequest {
+            change: ChangeId(change),
+            author,
+            base: parsed.base.map(Version),
+            edits,
+        };
+        if parsed.dry_run {
+            return self.check_only(&request);
+        }
+        self.accept_change(request).await
+    }
+
+    async fn accept_change(self: &Arc<Self>, request: ChangeRequest) -> Response<Body> {
+        if !self.is_ready() {
+            return text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "this node is not ready; use another one or wait\n",
+            );
+        }
+        let change = request.change;
+        let node = self.clone();
+        // The commit goes on if the operator's connection breaks; the change's id finds it.
+        let verdict = tokio::spawn(async move { node.commit(request).await }).await;
+        answer(change, &verdict.unwrap_or(Verdict::Unknown))
+    }
+
+    fn check_only(&self, request: &ChangeRequest) -> Response<Body> {
+        let config = lock(&self.distribution).held().clone();
+        let next = config.preview(&request.edits);
+        let mut invalid = check_owner(&request.author, &request.edits);
+        invalid.extend(check_whole(&next));
+        if !invalid.is_empty() {
+            return answer(request.change, &Verdict::Invalid(invalid));
+        }
+        let checked = ApplyAnswer {
+            verdict: "checked".to_string(),
+            version: Some(config.version().0),
+            change: request.change.to_string(),
+            problems: Vec::new(),
+            paths: Vec::new(),
+        };
+        json_response(StatusCode::OK, &checked)
+    }
+
+    async fn api_undo(self: &Arc<Self>, author: String, body: Body) -> Response<Body> {
+        let parsed = match read_json::<UndoBody>(body).await {
+            Ok(parsed) => parsed,
+            Err(response) => return response,
+        };
+        let Some(change) = parse_hex(&parsed.change) else {
+            return text(StatusCode::BAD_REQUEST, "the change id is malformed\n");
+        };
+        match self.undo_edits(Version(parsed.version)).await {
+            Ok((head, edits)) => {
+                let request = ChangeRequest {
+                    change: ChangeId(change),
+                    author,
+                    base: Some(head),
+                    edits,
+                };
+                self.accept_change(request).await
+            }
+            Err(e) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{e}\n")),
+        }
+    }
+}
+
+async fn read_json<T: for<'de> Deserialize<'de>>(body: Body) -> Result<T, Response<Body>> {
+    let refuse = |message: String| text(StatusCode::BAD_REQUEST, message);
+    let bytes = read_body(body, CHANGE_MAX)
+        .await
+        .map_err(|_| refuse(format!("the change is over {CHANGE_MAX} bytes; split it\n")))?;
+    serde_json::from_slice(&bytes).map_err(|e| refuse(format!("not a change: {e}\n")))
+}
+
+fn answer(change: ChangeId, verdict: &Verdict) -> Response<Body> {
+    let (status, name, version) = match verdict {
+        Verdict::Accepted { delta, .. } => (StatusCode::OK, "accepted", Some(delta.version)),
+        Verdict::Found(version) => (StatusCode::OK, "accepted", Some(*version)),
+        Verdict::Unchanged(version) => (StatusCode::OK, "unchanged", Some(*version)),
+        Verdict::Invalid(_) => (StatusCode::UNPROCESSABLE_ENTITY, "invalid", None),
+        Verdict::Conflict(_) => (StatusCode::CONFLICT, "conflict", None),
+        Verdict::HeadBehind { .. } => (StatusCode::SERVICE_UNAVAILABLE, "refused", None),
+        Verdict::Contended => (StatusCode::CONFLICT, "refused", None),
+        Verdict::Unavailable => (StatusCode::SERVICE_UNAVAILABLE, "refused", None),
+        Verdict::Unknown => (StatusCode::GATEWAY_TIMEOUT, "unknown", None),
+    };
+    let mut paths = Vec::new();
+    let problems = match verdict {
+        Verdict::Invalid(list) => {
+            paths = list.iter().map(|i| i.path().to_string()).collect();
+            list.iter().map(ToString::to_string).collect()
+        }
+        Verdict::Conflict(c) => {
+            paths.push(c.path.to_string());
+            vec![c.to_string()]
+        }
+        Verdict::HeadBehind { head, held } => vec![format!(
+            "the platform's head is at {head}, {held} is in force; it is being restored, apply again"
+        )],
+        Verdict::Contended => vec!["other changes won every race; apply again".to_string()],
+        Verdict::Unavailable => {
+            vec!["the platform did not answer; nothing was changed, apply again later".to_string()]
+        }
+        Verdict::Unknown => vec![format!(
+            "the platform's answer was lost; look with `tarragon change show {change}`"
+        )],
+        _ => Vec::new(),
+    };
+    let body = ApplyAnswer {
+        verdict: name.to_string(),
+        version: version.map(|v| v.0),
+        change: change.to_string(),
+        problems,
+        paths,
+    };
+    json_response(status, &body)
+}
+
+fn summary(record: &ChangeRecord) -> Value {
+    let edit = |e: &Edit| match e {
+        Edit::Put(path, object) => json!({ "put": path.to_string(), "kind": object.kind() }),
+        Edit::Delete(path) => json!({ "delete": path.to_string() }),
+    };
+    json!({
+        "version": record.delta.version.0,
+        "change": record.delta.change.to_string(),
+        "author": record.delta.author,
+        "edits": record.delta.edits.iter().map(edit).collect::<Vec<_>>(),
+    })
+}
+
+fn parameter(query: &str, name: &str) -> Option<u64> {
+    let pairs = query.split('&').filter_map(|p| p.split_once('='));
+    let mut named = pairs.filter(|(n, _)| *n == name);
+    named.next().and_then(|(_, v)| v.parse().ok())
+}
+
+fn unauthorized() -> Response<Body> {
+    text(
+        StatusCode::UNAUTHORIZED,
+        "no team has this token; set TARRAGON_TOKEN or --token\n",
+    )
+}
+
+fn text(status: StatusCode, message: impl Into<String>) -> Response<Body> {
+    full(status, "text/plain; charset=utf-8", message.into())
+}
--- /dev/null
+++ b/src/node/control.rs
@@ -0,0 +1,272 @@
+//! The control loop: datagrams in and out, timers, and the actions of the state machines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, MissedTickBehavior};
+
+use super::{Node, lock};
+use crate::coordination::budget::Urgency;
+use crate::coordination::distribution::{Action, Actions, PULL_TIMEOUT, Pulled};
+use crate::coordination::members::{Members, Message, Outbox};
+use crate::coordination::outcome::NotRun;
+use crate::protocol::datagram::{DATAGRAM_MAX, Datagram, Opener};
+use crate::protocol::peer::{PeerReply, PeerRequest};
+use crate::state::id::Version;
+use crate::state::routing::RoutingTable;
+use crate::state::snapshot::Snapshot;
+use crate::transport::link::ask;
+use crate::transport::platform::Platform;
+
+/// Interval between ticks of the state machines.
+const TICK: Duration = Duration::from_millis(50);
+/// Fleets up to this size announce a version to every member.
+const ANNOUNCE_ALL: usize = 16;
+/// Peers of the own zone that a version is announced to, beside the ring's neighbours.
+const ANNOUNCE_ZONE: usize = 2;
+/// Peers of any zone that a version is announced to.
+const ANNOUNCE_ANY: usize = 2;
+/// Peers offered in place of silent ones at each tick.
+const SPARES: usize = 2;
+/// Ticks between the forgetting of unused targets.
+const FORGET_TICKS: u32 = 1200;
+
+impl<P: Platform> Node<P> {
+    pub(super) async fn receive_loop(self: Arc<Self>) {
+        let mut opener = Opener::new(self.key.clone());
+        let mut buffer = [0; DATAGRAM_MAX + 1];
+        loop {
+            let Ok((length, _)) = self.udp.recv_from(&mut buffer).await else {
+                continue;
+            };
+            match opener.open(&buffer[..length]) {
+                Ok((from, datagram)) => {
+                    self.metrics.received(datagram.kind(), length);
+                    self.handle(from, datagram, Instant::now());
+                }
+                Err(_) => self.metrics.received("refused", length),
+            }
+        }
+    }
+
+    pub(super) async fn tick_loop(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticks: u32 = 0;
+        loop {
+            interval.tick().await;
+            let now = Instant::now();
+            self.tick(now);
+            ticks = ticks.wrapping_add(1);
+            if ticks.is_multiple_of(FORGET_TICKS) {
+                lock(&self.picker).forget(now);
+            }
+        }
+    }
+
+    fn tick(self: &Arc<Self>, now: Instant) {
+        let version = self.version();
+        let mut out = Outbox::new();
+        let spares = {
+            let mut members = lock(&self.members);
+            members.tick(version, now, &mut out);
+            members.sample(SPARES)
+        };
+        self.send_members(out);
+        let mut actions = Actions::new();
+        lock(&self.distribution).tick(&spares, now, &mut actions);
+        self.execute(actions);
+        self.refresh_targets();
+        let mut state = lock(&self.gate);
+        let wakes = state.gate.expire(now);
+        state.deliver(wakes);
+    }
+
+    fn handle(self: &Arc<Self>, from: SocketAddr, datagram: Datagram, now: Instant) {
+        let mut actions = Actions::new();
+        match datagram {
+            Datagram::Announce(version) => {
+                lock(&self.distribution).announced(from, version, now, &mut actions);
+            }
+            Datagram::Acknowledge(version) => {
+                lock(&self.distribution).acknowledged(from, version);
+            }
+            Datagram::Member(message) => {
+                if let Some(version) = version_told(&message) {
+                    lock(&self.distribution).hear(from, version, now, &mut actions);
+                }
+                let mut out = Outbox::new();
+                lock(&self.members).receive(from, message, now, &mut out);
+                self.send_members(out);
+            }
+        }
+        self.execute(actions);
+    }
+
+    pub(super) fn execute(self: &Arc<Self>, actions: Actions) {
+        for action in actions {
+            match action {
+                Action::Announce(to, version) => self.send(to, &Datagram::Announce(version)),
+                Action::Acknowledge(to, version) => self.send(to, &Datagram::Acknowledge(version)),
+                Action::Pull {
+                    from,
+                    since,
+                    ticket,
+                } => {
+                    tokio::spawn(self.clone().pull(from, since, ticket));
+                }
+                Action::ReadPlatform { ticket } => {
+                    tokio::spawn(self.clone().pull_platform(ticket));
+                }
+                Action::Adopt(snapshot) => self.adopt(&snapshot),
+            }
+        }
+    }
+
+    async fn pull(self: Arc<Self>, from: SocketAddr, since: Version, ticket: u64) {
+        let request = PeerRequest::Pull(since);
+        let result = match ask(&self.key, from, &request, PULL_TIMEOUT).await {
+            Ok((PeerReply::Pulled(pulled), moved)) => {
+                self.metrics.received(pulled_kind(&pulled), moved);
+                pulled
+            }
+            _ => Pulled::Failed,
+        };
+        self.pulled(ticket, result);
+    }
+
+    async fn pull_platform(self: Arc<Self>, ticket: u64) {
+        let result = self.read_newer().await.unwrap_or(Pulled::Failed);
+        self.pulled(ticket, result);
+    }
+
+    fn pulled(self: &Arc<Self>, ticket: u64, result: Pulled) {
+        let peers = self.announce_peers();
+        let mut actions = Actions::new();
+        let now = Instant::now();
+        lock(&self.distribution).pulled(ticket, result, &peers, now, &mut actions);
+        self.execute(actions);
+    }
+
+    /// Whom a new version is announced to.
+    pub(super) fn announce_peers(&self) -> Vec<SocketAddr> {
+        announce_peers(&mut lock(&self.members))
+    }
+
+    fn adopt(&self, snapshot: &Snapshot) {
+        let members = lock(&self.members);
+        // Two adoptions may race to this point; the table never goes back.
+        if snapshot.version() <= self.routing.load().version() {
+            return;
+        }
+        let table = RoutingTable::build(snapshot, members.table());
+        self.routing.store(Arc::new(table));
+        drop(members);
+        self.apply_target_settings();
+        log::info!(
+            "in force version={} digest={:?}",
+            snapshot.version(),
+            snapshot.digest()
+        );
+    }
+
+    fn refresh_targets(&self) {
+        let mut members = lock(&self.members);
+        let changed = members.take_changed();
+        if changed.is_empty() {
+            return;
+        }
+        let table = self.routing.load().refresh(members.table(), &changed);
+        self.routing.store(Arc::new(table));
+    }
+
+    /// Brings the own gate in line with the operators' settings of the own target.
+    fn apply_target_settings(&self) {
+        let table = self.routing.load();
+        let Some(settings) = table.target(&self.settings.instance) else {
+            return;
+        };
+        let mut state = lock(&self.gate);
+        state.gate.set_slots(settings.slots);
+        state.drained = settings.drained;
+        let closed = settings.drained.then_some(NotRun::Leaving);
+        state.gate.set_closed(closed);
+    }
+
+    pub(super) fn send_members(&self, out: Outbox) {
+        for (to, message) in out {
+            self.send(to, &Datagram::Member(message));
+        }
+    }
+
+    fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        let bytes = {
+            let mut sender = lock(&self.sender);
+            let bytes = sender.sealer.seal(datagram);
+            let allowed = sender
+                .budget
+                .allow(urgency(datagram), bytes.len(), Instant::now());
+            if !allowed {
+                return;
+            }
+            bytes
+        };
+        if bytes.len() > DATAGRAM_MAX {
+            return self.send_halves(to, datagram);
+        }
+        self.metrics.sent(datagram.kind(), bytes.len());
+        // A full socket buffer drops the datagram, as the network would.
+        let _ = self.udp.try_send_to(&bytes, to);
+    }
+
+    /// Long names can make a batch of records too large for one datagram.
+    fn send_halves(&self, to: SocketAddr, datagram: &Datagram) {
+        let Datagram::Member(Message::News { records }) = datagram else {
+            return;
+        };
+        let (head, tail) = records.split_at(records.len() / 2);
+        for half in [head, tail] {
+            if !half.is_empty() && half.len() < records.len() {
+                let records = half.to_vec();
+                self.send(to, &Datagram::Member(Message::News { records }));
+            }
+        }
+    }
+}
+
+fn announce_peers(members: &mut Members) -> Vec<SocketAddr> {
+    if members.table().alive() <= ANNOUNCE_ALL {
+        return members.peers().to_vec();
+    }
+    let own = members.own();
+    let ring = members.table().neighbours(&own.zone, &own.peer);
+    let mut peers: Vec<SocketAddr> = ring.into_iter().flatten().collect();
+    peers.extend(members.sample_zone(ANNOUNCE_ZONE));
+    peers.extend(members.sample(ANNOUNCE_ANY));
+    peers.sort_unstable();
+    peers.dedup();
+    peers
+}
+
+fn version_told(message: &Message) -> Option<Version> {
+    match message {
+        Message::Ping { brief, .. } | Message::Ack { brief, .. } => Some(brief.version),
+        _ => None,
+    }
+}
+
+fn urgency(datagram: &Datagram) -> Urgency {
+    match datagram {
+        Datagram::Member(Message::News { .. }) => Urgency::News,
+        Datagram::Member(Message::Compare { .. }) => Urgency::Repair,
+        _ => Urgency::Always,
+    }
+}
+
+fn pulled_kind(pulled: &Pulled) -> &'static str {
+    match pulled {
+        Pulled::Whole(_) => "snapshot",
+        _ => "delta",
+    }
+}
--- /dev/null
+++ b/src/node/dump.rs
@@ -0,0 +1,180 @@
+//! The state of the process, on request. Secrets are left out.
+
+use std::sync::atomic::Ordering;
+
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::{Node, lock};
+use crate::transport::platform::Platform;
+
+impl<P: Platform> Node<P> {
+    /// The whole state of the process as JSON. Tables are read one after the other.
+    pub fn dump(&self) -> Value {
+        json!({
+            "instance": self.settings.instance,
+            "zone": self.settings.zone,
+            "uptime_seconds": self.started.elapsed().as_secs_f64(),
+            "ready": self.is_ready(),
+            "leaving": self.is_leaving(),
+            "rollbacks_refused": self.rollbacks.load(Ordering::Relaxed),
+            "configuration": self.dump_configuration(),
+            "members": self.dump_members(),
+            "routing": self.dump_routing(),
+            "gate": self.dump_gate(),
+            "slot": self.dump_slot(),
+            "retry_budget": lock(&self.retries).left(),
+            "control_deferred": lock(&self.sender).budget.deferred(),
+        })
+    }
+
+    /// Levels for the metrics.
+    pub(super) fn levels(&self) -> Vec<(&'static str, f64)> {
+        let (alive, awareness, members) = {
+            let members = lock(&self.members);
+            (
+                members.table().alive(),
+                members.awareness(),
+                members.counts(),
+            )
+        };
+        let (counts, wanted) = {
+            let distribution = lock(&self.distribution);
+            (distribution.counts(), distribution.wanted())
+        };
+        let state = lock(&self.gate);
+        let gate = state.gate.counts();
+        vec![
+            ("config_version", self.version().0 as f64),
+            ("config_wanted", wanted.0 as f64),
+            ("config_adopted", counts.adopted as f64),
+            ("config_pulls", counts.pulls as f64),
+            ("config_mismatches", counts.mismatches as f64),
+            ("config_refused", counts.refused as f64),
+            (
+                "config_rollbacks",
+                self.rollbacks.load(Ordering::Relaxed) as f64,
+            ),
+            ("members_alive", alive as f64),
+            ("members_awareness", f64::from(awareness)),
+            ("members_suspected", members.suspected as f64),
+            ("members_declared", members.declared as f64),
+            ("members_refuted", members.refuted as f64),
+            ("gate_running", f64::from(state.gate.running())),
+            ("gate_waiting", state.gate.waiting() as f64),
+            ("gate_limit", f64::from(state.gate.limit())),
+            ("gate_handed", gate.handed as f64),
+            ("gate_refused", gate.refused as f64),
+            ("gate_voided", gate.voided as f64),
+            ("gate_shed", gate.shed as f64),
+            ("ready", f64::from(u8::from(self.is_ready()))),
+        ]
+    }
+
+    fn dump_configuration(&self) -> Value {
+        let distribution = lock(&self.distribution);
+        let held = distribution.held();
+        let counts = distribution.counts();
+        json!({
+            "version": held.version().0,
+            "digest": held.digest().to_string(),
+            "change": held.change().to_string(),
+            "objects": held.len(),
+            "wanted": distribution.wanted().0,
+            "adopted": counts.adopted,
+            "pulls": counts.pulls,
+            "busy": counts.busy,
+            "mismatches": counts.mismatches,
+            "refused": counts.refused,
+        })
+    }
+
+    fn dump_members(&self) -> Value {
+        let members = lock(&self.members);
+        let records: Vec<Value> = members
+            .table()
+            .records()
+            .map(|r| {
+                json!({
+                    "peer": r.peer.to_string(),
+                    "gate": r.gate,
+                    "incarnation": r.incarnation.0,
+                    "sequence": r.sequence,
+                    "zone": &*r.zone,
+                    "state": r.health.to_string(),
+                    "watcher": r.watcher,
+                    "instance": r.target.as_ref().map(|t| t.instance.to_string()),
+                    "service": r.target.as_ref().map(|t| t.service.to_string()),
+                })
+            })
+            .collect();
+        let counts = members.counts();
+        json!({
+            "alive": members.table().alive(),
+            "awareness": members.awareness(),
+            "suspected": counts.suspected,
+            "declared": counts.declared,
+            "refuted": counts.refuted,
+            "pauses": counts.pauses,
+            "records": records,
+        })
+    }
+
+    fn dump_routing(&self) -> Value {
+        let table = self.routing.load_full();
+        let picker = lock(&self.picker);
+        let now = Instant::now();
+        let services: Vec<Value> = table
+            .services()
+            .map(|(path, service)| {
+                let targets: Vec<Value> = service
+                    .candidates
+                    .iter()
+                    .map(|c| {
+                        json!({
+                            "peer": c.peer.to_string(),
+                            "gate": c.gate.to_string(),
+                            "zone": &*c.zone,
+                            "state": c.health.to_string(),
+                            "in_flight": picker.in_flight(&c.peer),
+                            "ejected": picker.is_ejected(&c.peer, now),
+                        })
+                    })
+                    .collect();
+                json!({ "path": path.to_string(), "targets": targets })
+            })
+            .collect();
+        let routes: Vec<String> = table.routes().map(|r| r.path.to_string()).collect();
+        json!({
+            "version": table.version().0,
+            "routes": routes,
+            "services": services,
+            "ejections": picker.ejected(),
+        })
+    }
+
+    fn dump_gate(&self) -> Value {
+        let state = lock(&self.gate);
+        let counts = state.gate.counts();
+        json!({
+            "incarnation": state.gate.incarnation().0,
+            "drained": state.drained,
+            "leaving": state.gate.is_leaving(),
+            "running": state.gate.running(),
+            "waiting": state.gate.waiting(),
+            "limit": state.gate.limit(),
+            "mean_ms": state.gate.mean().as_secs_f64() * 1000.0,
+            "handed": counts.handed,
+            "refused": counts.refused,
+            "voided": counts.voided,
+            "shed": counts.shed,
+        })
+    }
+
+    fn dump_slot(&self) -> Value {
+        match lock(&self.slots).held(Instant::now()) {
+            Some(h) => json!({ "number": h.number, "lease": h.lease }),
+            None => Value::Null,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/gate.rs
@@ -0,0 +1,297 @@
+//! The gate's service: admits attempts, hands them to the target, and streams the answer back.
+
+use std::collections::HashMap;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, Sleep};
+
+use super::{Node, lock, wall_millis};
+use crate::coordination::gate::{Admission, Gate, Offer, Wake, Wakes};
+use crate::coordination::outcome::{Doubt, NotRun, OUTCOME_HEADER, Outcome};
+use crate::node::config::TargetAddress;
+use crate::protocol::headers::{DEADLINE, INTERNAL, LOAD, Passport};
+use crate::state::id::AttemptId;
+use crate::transport::client::SendError;
+use crate::transport::http::{Endpoint, empty};
+use crate::transport::platform::Platform;
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The gate and those who wait at it, under one lock.
+pub(super) struct GateState {
+    pub(super) gate: Gate,
+    pub(super) drained: bool,
+    waiters: HashMap<AttemptId, oneshot::Sender<Result<(), NotRun>>>,
+}
+
+impl GateState {
+    pub(super) fn new(gate: Gate) -> GateState {
+        GateState {
+            gate,
+            drained: false,
+            waiters: HashMap::new(),
+        }
+    }
+
+    /// Tells waiting attempts what became of them.
+    pub(super) fn deliver(&mut self, wakes: Wakes) {
+        for wake in wakes {
+            let (attempt, message) = match wake {
+                Wake::Run(a) => (a, Ok(())),
+                Wake::Refuse(a, reason) => (a, Err(reason)),
+            };
+            if let Some(waiter) = self.waiters.remove(&attempt) {
+                // A waiter that went away gives its slot back when its ticket is dropped.
+                let _ = waiter.send(message);
+            }
+        }
+    }
+}
+
+/// HTTP service for other nodes.
+pub(super) struct GateService<P>(pub(super) Arc<Node<P>>);
+
+impl<P: Platform> Endpoint for GateService<P> {
+    async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
+        match Passport::read(&self.0.key, request.headers()) {
+            Ok(passport) => self.0.run_here(passport, request).await,
+            Err(_) => refusal(NotRun::NotAuthentic, 0),
+        }
+    }
+}
+
+/// An attempt's place at the gate; gives it back when dropped.
+struct Ticket<P: Platform> {
+    node: Arc<Node<P>>,
+    attempt: AttemptId,
+    /// What is recorded of the attempt if the ticket is dropped now.
+    outcome: Outcome,
+}
+
+impl<P: Platform> Drop for Ticket<P> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let mut state = lock(&self.node.gate);
+        state.waiters.remove(&self.attempt);
+        state.gate.abandon(self.attempt);
+        let wakes = state.gate.finish(self.attempt, self.outcome, now);
+        state.deliver(wakes);
+    }
+}
+
+impl<P: Platform> Node<P> {
+    /// Runs one attempt at the target beside this node.
+    pub(super) async fn run_here(
+        self: &Arc<Self>,
+        passport: Passport,
+        request: Request<Body>,
+    ) -> Response<Body> {
+        let Some(target) = &self.settings.target else {
+            return refusal(NotRun::NoTarget, 0);
+        };
+        let deadline = Instant::now() + passport.left;
+        let ticket = match self.admit_attempt(passport, deadline).await {
+            Ok(ticket) => ticket,
+            Err(reason) => return refusal(reason, self.gate_load()),
+        };
+        self.hand_over(ticket, target, request, deadline).await
+    }
+
+    async fn admit_attempt(
+        self: &Arc<Self>,
+        passport: Passport,
+        deadline: Instant,
+    ) -> Result<Ticket<P>, NotRun> {
+        let offer = Offer {
+            attempt: passport.attempt,
+            incarnation: passport.incarnation,
+            class: passport.class,
+            age: Duration::from_millis(wall_millis().abs_diff(passport.sent)),
+            deadline,
+        };
+        let (woken, ticket) = {
+            let mut state = lock(&self.gate);
+            let (admission, wakes) = state.gate.offer(offer, Instant::now());
+            state.deliver(wakes);
+            let woken = match admission {
+                Admission::Refuse(reason) => return Err(reason),
+                Admission::Run => None,
+                Admission::Wait => {
+                    let (send, woken) = oneshot::channel();
+                    state.waiters.insert(offer.attempt, send);
+                    Some(woken)
+                }
+            };
+            let ticket = Ticket {
+                node: self.clone(),
+                attempt: offer.attempt,
+                outcome: Outcome::NotRun(NotRun::CallerGone),
+            };
+            (woken, ticket)
+        };
+        match woken {
+            None => Ok(ticket),
+            Some(woken) => match woken.await {
+                Ok(Ok(())) => Ok(ticket),
+                Ok(Err(reason)) => Err(reason),
+                Err(_) => Err(NotRun::Leaving),
+            },
+        }
+    }
+
+    async fn hand_over(
+        self: &Arc<Self>,
+        mut ticket: Ticket<P>,
+        target: &TargetAddress,
+        mut request: Request<Body>,
+        deadline: Instant,
+    ) -> Response<Body> {
+        strip(request.headers_mut());
+        let left = deadline.saturating_duration_since(Instant::now());
+        let left = HeaderValue::from(left.as_millis() as u64);
+        request.headers_mut().insert(DEADLINE, left);
+        // From here on the target may see the request.
+        ticket.outcome = Outcome::Unknown(Doubt::TargetBroken);
+        let sent = self.local.send(target.address, request);
+        match tokio::time::timeout_at(deadline, sent).await {
+            Ok(Ok(response)) => self.answered(ticket, target, response, deadline),
+            Ok(Err(SendError::NotSent)) => {
+                ticket.outcome = Outcome::NotRun(NotRun::Unreachable);
+                drop(ticket);
+                refusal(NotRun::Unreachable, self.gate_load())
+            }
+            Ok(Err(SendError::Broken)) => doubt(Doubt::TargetBroken, self.gate_load()),
+            Err(_) => {
+                ticket.outcome = Outcome::Unknown(Doubt::Timeout);
+                doubt(Doubt::Timeout, self.gate_load())
+            }
+        }
+    }
+
+    fn answered(
+        self: &Arc<Self>,
+        mut ticket: Ticket<P>,
+        target: &TargetAddress,
+        mut response: Response<Body>,
+        deadline: Instant,
+    ) -> Response<Body> {
+        if Some(response.status().as_u16()) == self.shed_status(target) {
+            ticket.outcome = Outcome::NotRun(NotRun::Shed);
+            drop(ticket);
+            return refusal(NotRun::Shed, self.gate_load());
+        }
+        lock(&self.health).answered(Instant::now());
+        ticket.outcome = Outcome::Answered;
+        strip(response.headers_mut());
+        label(response.headers_mut(), Outcome::Answered, self.gate_load());
+        response.map(|body| {
+            if body.is_end_stream() {
+                drop(ticket);
+                return body;
+            }
+            Body::new(Held {
+                body,
+                deadline: Box::pin(tokio::time::sleep_until(deadline)),
+                _ticket: ticket,
+            })
+        })
+    }
+
+    fn shed_status(&self, target: &TargetAddress) -> Option<u16> {
+        let table = self.routing.load();
+        table.service(&target.service)?.settings.shed_status
+    }
+
+    fn gate_load(&self) -> u32 {
+        let state = lock(&self.gate);
+        state.gate.running() + state.gate.waiting() as u32
+    }
+}
+
+/// A target's answer that keeps its slot until it has been streamed. Cut when the deadline passes.
+struct Held<P: Platform> {
+    body: Body,
+    deadline: Pin<Box<Sleep>>,
+    _ticket: Ticket<P>,
+}
+
+impl<P: Platform> HttpBody for Held<P> {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+        }
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Removes headers that must not pass from one hop to the next.
+pub(super) fn strip(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in HOP_BY_HOP.into_iter().chain(INTERNAL) {
+        headers.remove(name);
+    }
+    headers.remove(OUTCOME_HEADER);
+}
+
+/// Writes the outcome and the load into an answer's headers.
+pub(super) fn label(headers: &mut HeaderMap, outcome: Outcome, load: u32) {
+    let text = outcome.to_string();
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        headers.insert(OUTCOME_HEADER, value);
+    }
+    headers.insert(LOAD, HeaderValue::from(load));
+}
+
+fn refusal(reason: NotRun, load: u32) -> Response<Body> {
+    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    label(response.headers_mut(), Outcome::NotRun(reason), load);
+    response
+}
+
+fn doubt(reason: Doubt, load: u32) -> Response<Body> {
+    let mut response = empty(StatusCode::BAD_GATEWAY);
+    label(response.headers_mut(), Outcome::Unknown(reason), load);
+    response
+}
--- /dev/null
+++ b/src/node/join.rs
@@ -0,0 +1,168 @@
+//! Joining the fleet: first peers, the member table, and a current configuration before serving.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{Node, lock};
+use crate::coordination::distribution::Actions;
+use crate::protocol::peer::{PeerReply, PeerRequest};
+use crate::protocol::record::{SLOT_PREFIX, decode_slot};
+use crate::state::id::Version;
+use crate::transport::link::ask;
+use crate::transport::platform::Platform;
+
+/// Peers asked for the member table in one round.
+const ASKED: usize = 3;
+/// Time within which a peer sends its table.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait between rounds of joining.
+const ROUND_MAX: Duration = Duration::from_secs(5);
+/// Shortest wait between rounds of joining.
+const ROUND_MIN: Duration = Duration::from_millis(100);
+/// Interval between looks at whether the configuration is current.
+const READY_POLL: Duration = Duration::from_millis(10);
+/// Time after which a round starts over when the configuration has not come.
+const READY_PATIENCE: Duration = Duration::from_secs(3);
+/// Interval between comparisons of a joined node's table with the watcher slots.
+const REJOIN_PERIOD: Duration = Duration::from_secs(10);
+/// Interval between looks for peers while this node knows of none.
+const ALONE_PERIOD: Duration = Duration::from_secs(1);
+
+/// What a round of joining found.
+struct Found {
+    /// The newest version known to the platform, if it answered.
+    head: Option<Version>,
+    /// The newest version held by the peers that answered, and how many did.
+    peers: (Version, usize),
+}
+
+impl<P: Platform> Node<P> {
+    pub(super) async fn join_loop(self: Arc<Self>) {
+        sleep_up_to(self.settings.join_jitter).await;
+        let mut round = ROUND_MIN;
+        while !self.join_round().await {
+            sleep_up_to(round).await;
+            round = (round * 2).min(ROUND_MAX);
+        }
+        self.ready.store(true, Ordering::Release);
+        log::info!("ready version={}", self.version());
+        self.rejoin_loop().await;
+    }
+
+    async fn join_round(self: &Arc<Self>) -> bool {
+        let slots = self.platform.list(SLOT_PREFIX).await;
+        let holders = slots.iter().flatten();
+        let holders = holders.filter_map(|(_, v)| decode_slot(&v.text));
+        let mut known: Vec<SocketAddr> = holders.collect();
+        known.extend(&self.settings.peers);
+        let peers = self.join_peers(known).await;
+        let head = match self.read_head().await {
+            Ok(found) => Some(found.map_or(Version(0), |(head, _)| head.version)),
+            Err(_) => None,
+        };
+        self.wait_current(Found { head, peers }).await
+    }
+
+    /// Learns the member table from a few of the known peers.
+    pub(super) async fn join_peers(
+        self: &Arc<Self>,
+        mut known: Vec<SocketAddr>,
+    ) -> (Version, usize) {
+        known.sort_unstable();
+        known.dedup();
+        known.retain(|p| *p != self.addresses.peers);
+        fastrand::shuffle(&mut known);
+        let (mut newest, mut answers) = (Version(0), 0);
+        for peer in known {
+            if let Some(version) = self.join_peer(peer).await {
+                newest = newest.max(version);
+                answers += 1;
+            }
+            if answers == ASKED {
+                break;
+            }
+        }
+        (newest, answers)
+    }
+
+    async fn join_peer(self: &Arc<Self>, peer: SocketAddr) -> Option<Version> {
+        let record = lock(&self.members).own().clone();
+        let request = PeerRequest::Join(record);
+        let reply = ask(&self.key, peer, &request, JOIN_TIMEOUT).await;
+        let (PeerReply::Table(records, version), moved) = reply.ok()? else {
+            return None;
+        };
+        self.metrics.received("join", moved);
+        let now = Instant::now();
+        let incarnation = {
+            let mut members = lock(&self.members);
+            members.learn(&records, now);
+            members.own().incarnation
+        };
+        lock(&self.gate).gate.set_incarnation(incarnation);
+        let mut actions = Actions::new();
+        lock(&self.distribution).hear(peer, version, now, &mut actions);
+        self.execute(actions);
+        Some(version)
+    }
+
+    /// Waits until the configuration is at least as new as what the round found. With the
+    /// platform down, the peers' newest version counts, if any peer answered.
+    async fn wait_current(self: &Arc<Self>, found: Found) -> bool {
+        let floor = match (found.head, found.peers) {
+            (Some(head), (peers, _)) => head.max(peers),
+            (None, (peers, answers)) if answers > 0 => peers,
+            (None, _) => return false,
+        };
+        let mut actions = Actions::new();
+        let now = Instant::now();
+        lock(&self.distribution).head_moved(floor, now, &mut actions);
+        self.execute(actions);
+        while self.version() < floor {
+            if now.elapsed() > READY_PATIENCE {
+                return false;
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        true
+    }
+
+    /// Watchers compare their table with the slots, so that fleets that were apart merge again. A
+    /// node that knows of no other does too: a whole fleet may have started at one moment.
+    async fn rejoin_loop(self: &Arc<Self>) {
+        loop {
+            let alone = self.members_alive() <= 1;
+            tokio::time::sleep(if alone { ALONE_PERIOD } else { REJOIN_PERIOD }).await;
+            sleep_up_to(self.settings.join_jitter).await;
+            if alone || lock(&self.slots).held(Instant::now()).is_some() {
+                self.join_holders().await;
+            }
+        }
+    }
+
+    async fn join_holders(self: &Arc<Self>) {
+        let slots = self.platform.list(SLOT_PREFIX).await;
+        let holders = slots.iter().flatten();
+        let mut known: Vec<SocketAddr> =
+            holders.filter_map(|(_, v)| decode_slot(&v.text)).collect();
+        known.extend(&self.settings.peers);
+        known.retain(|p| !self.knows(p));
+        self.join_peers(known).await;
+    }
+
+    pub(super) fn knows(&self, peer: &SocketAddr) -> bool {
+        let members = lock(&self.members);
+        members
+            .table()
+            .get(peer)
+            .is_some_and(|r| r.health.is_alive())
+    }
+}
+
+async fn sleep_up_to(most: Duration) {
+    tokio::time::sleep(most.mul_f64(fastrand::f64())).await;
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,348 @@
+//! The node: the daemon's tasks around the state machines.
+//!
+//! Shared tables are locked in the order of the fields of [`Node`]: members, distribution, slots,
+//! gate, picker, retries, sender. A lock is never held across an await.
+
+mod api;
+mod claims;
+pub mod config;
+mod control;
+mod dump;
+mod gate;
+mod ingress;
+mod join;
+mod metrics;
+mod peers;
+mod store;
+mod target;
+mod watch;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwap;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{Semaphore, watch as signal};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::coordination::budget::ByteBudget;
+use crate::coordination::distribution::Distribution;
+use crate::coordination::gate::Gate;
+use crate::coordination::health::TargetHealth;
+use crate::coordination::members::Members;
+use crate::coordination::pick::Picker;
+use crate::coordination::retry::RetryBudget;
+use crate::coordination::slots::Slots;
+use crate::node::config::NodeSettings;
+use crate::protocol::datagram::Sealer;
+use crate::protocol::key::FleetKey;
+use crate::state::id::{Incarnation, Version};
+use crate::state::member::{Beside, Health, Record};
+use crate::state::routing::RoutingTable;
+use crate::state::snapshot::Snapshot;
+use crate::transport::client::HttpClient;
+use crate::transport::http::{ServeLimits, serve};
+use crate::transport::platform::Platform;
+
+pub use claims::ClaimQueue;
+pub use metrics::Metrics;
+
+/// Time between the announcement of leaving and the closing of the listeners, so that callers
+/// and other nodes turn away first.
+const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+/// Peers that are told at once of a node's leaving.
+const FAREWELLS: usize = 16;
+/// Whole configurations or delta runs served at once.
+const PULLS_MAX: usize = 8;
+/// Connections of operators at once.
+const ADMIN_CONNECTIONS: usize = 64;
+
+/// Addresses that a node listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Other nodes.
+    pub peers: SocketAddr,
+    /// Requests to the target beside this node.
+    pub gate: SocketAddr,
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Operators.
+    pub admin: SocketAddr,
+}
+
+struct Sender {
+    sealer: Sealer,
+    budget: ByteBudget,
+}
+
+/// One node: its settings, its shared tables and its clients.
+pub struct Node<P> {
+    settings: NodeSettings,
+    addresses: Addresses,
+    key: FleetKey,
+    platform: P,
+    started: Instant,
+    routing: ArcSwap<RoutingTable>,
+    members: Mutex<Members>,
+    distribution: Mutex<Distribution>,
+    slots: Mutex<Slots>,
+    gate: Mutex<gate::GateState>,
+    health: Mutex<TargetHealth>,
+    picker: Mutex<Picker>,
+    retries: Mutex<RetryBudget>,
+    sender: Mutex<Sender>,
+    udp: UdpSocket,
+    /// Client for the gates of other nodes.
+    hop: HttpClient,
+    /// Client for the target beside this node.
+    local: HttpClient,
+    claims: ClaimQueue,
+    pulls: Semaphore,
+    metrics: Metrics,
+    ready: AtomicBool,
+    leaving: AtomicBool,
+    rollbacks: AtomicU64,
+    stop: signal::Sender<bool>,
+}
+
+/// A started node.
+pub struct RunningNode<P> {
+    node: Arc<Node<P>>,
+    serving: JoinSet<bool>,
+    control: JoinSet<()>,
+}
+
+impl<P: Platform> RunningNode<P> {
+    /// Binds the listeners and starts the tasks.
+    ///
+    /// # Errors
+    /// Any socket error.
+    pub async fn start(settings: NodeSettings, platform: P) -> io::Result<RunningNode<P>> {
+        let listen = &settings.listen;
+        let (peers, udp) = bind_peers(listen.peers).await?;
+        let gate = TcpListener::bind(listen.gate).await?;
+        let callers = TcpListener::bind(listen.callers).await?;
+        let admin = TcpListener::bind(listen.admin).await?;
+        let addresses = Addresses {
+            peers: peers.local_addr()?,
+            gate: gate.local_addr()?,
+            callers: callers.local_addr()?,
+            admin: admin.local_addr()?,
+        };
+        let (node, wishes) = Node::new(settings, platform, addresses, udp);
+        let mut running = RunningNode {
+            node: Arc::new(node),
+            serving: JoinSet::new(),
+            control: JoinSet::new(),
+        };
+        running.serve(gate, callers, admin);
+        running.spawn_control(peers, wishes);
+        Ok(running)
+    }
+
+    /// The node.
+    pub fn node(&self) -> &Arc<Node<P>> {
+        &self.node
+    }
+
+    /// Stops gracefully: announces leaving, takes no new work, finishes what is in flight.
+    /// Returns whether everything ended within the drain time.
+    pub async fn stop(mut self) -> bool {
+        self.node.leave();
+        tokio::time::sleep(LEAVE_NOTICE).await;
+        let _ = self.node.stop.send(true);
+        let mut whole = true;
+        while let Some(ended) = self.serving.join_next().await {
+            whole &= ended.unwrap_or(false);
+        }
+        self.node.release_slot().await;
+        self.node.say_gone();
+        self.control.shutdown().await;
+        whole
+    }
+
+    /// Ends all tasks at once, as a crash would.
+    pub fn kill(mut self) {
+        self.serving.abort_all();
+        self.control.abort_all();
+    }
+
+    fn serve(&mut self, gate: TcpListener, callers: TcpListener, admin: TcpListener) {
+        let node = &self.node;
+        let limits = ServeLimits {
+            connections: node.settings.connections,
+            drain: node.settings.drain,
+        };
+        let few = ServeLimits {
+            connections: ADMIN_CONNECTIONS,
+            ..limits
+        };
+        let stop = || node.stop.subscribe();
+        let service = Arc::new(gate::GateService(node.clone()));
+        self.serving.spawn(serve(gate, service, limits, stop()));
+        let service = Arc::new(ingress::Ingress(node.clone()));
+        self.serving.spawn(serve(callers, service, limits, stop()));
+        let service = Arc::new(api::Api(node.clone()));
+        self.serving.spawn(serve(admin, service, few, stop()));
+    }
+
+    fn spawn_control(&mut self, peers: TcpListener, wishes: claims::WishReceiver) {
+        let node = &self.node;
+        self.control.spawn(node.clone().receive_loop());
+        self.control.spawn(node.clone().tick_loop());
+        self.control.spawn(node.clone().peer_loop(peers));
+        self.control.spawn(node.clone().join_loop());
+        self.control.spawn(node.clone().slot_loop());
+        self.control.spawn(node.clone().watch_loop());
+        self.control.spawn(node.clone().target_loop());
+        self.control.spawn(node.clone().claim_loop(wishes));
+    }
+}
+
+impl<P: Platform> Node<P> {
+    fn new(
+        settings: NodeSettings,
+        platform: P,
+        addresses: Addresses,
+        udp: UdpSocket,
+    ) -> (Node<P>, claims::WishReceiver) {
+        let now = Instant::now();
+        let incarnation = Incarnation(wall_millis());
+        let key = FleetKey::derive(&settings.fleet_key);
+        let mut rng = fastrand::Rng::new();
+        let own = own_record(&settings, addresses, incarnation);
+        let slots = settings.target.as_ref().map_or(1, |t| t.slots);
+        let (claims, wishes) = ClaimQueue::new();
+        let sender = Sender {
+            sealer: Sealer::new(key.clone(), addresses.peers, incarnation),
+            budget: ByteBudget::new(now),
+        };
+        let node = Node {
+            addresses,
+            platform,
+            started: now,
+            routing: ArcSwap::from_pointee(RoutingTable::default()),
+            members: Mutex::new(Members::new(own, now, rng.fork())),
+            distribution: Mutex::new(Distribution::new(Arc::new(Snapshot::default()), rng.fork())),
+            slots: Mutex::new(Slots::new(now)),
+            gate: Mutex::new(gate::GateState::new(Gate::new(incarnation, slots))),
+            health: Mutex::new(TargetHealth::default()),
+            picker: Mutex::new(Picker::new(rng.fork())),
+            retries: Mutex::new(RetryBudget::default()),
+            sender: Mutex::new(sender),
+            udp,
+            hop: HttpClient::default(),
+            local: HttpClient::default(),
+            claims,
+            pulls: Semaphore::new(PULLS_MAX),
+            metrics: Metrics::default(),
+            ready: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            rollbacks: AtomicU64::new(0),
+            stop: signal::Sender::new(false),
+            key,
+            settings,
+        };
+        (node, wishes)
+    }
+
+    /// Addresses that the node listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// The configuration version in force.
+    pub fn version(&self) -> Version {
+        self.routing.load().version()
+    }
+
+    /// Whether the node holds a current configuration and serves callers.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Live members known, this node included.
+    pub fn members_alive(&self) -> usize {
+        lock(&self.members).table().alive()
+    }
+
+    /// Counters of this node.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    fn leave(&self) {
+        log::info!("leaving instance={}", self.settings.instance);
+        self.leaving.store(true, Ordering::Release);
+        let news = {
+            let mut members = lock(&self.members);
+            members.update(|r| r.health = Health::Leaving);
+            members.farewell(FAREWELLS)
+        };
+        self.send_members(news);
+        let mut state = lock(&self.gate);
+        let wakes = state.gate.leave();
+        state.deliver(wakes);
+    }
+
+    fn say_gone(&self) {
+        let news = {
+            let mut members = lock(&self.members);
+            members.update(|r| r.health = Health::Gone);
+            members.farewell(FAREWELLS)
+        };
+        self.send_members(news);
+    }
+}
+
+/// UDP and TCP on one port. With port zero the operating system's choice for one may be taken for
+/// the other, so a few are tried.
+async fn bind_peers(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    const TRIES: usize = 16;
+    let mut last = None;
+    for _ in 0..TRIES {
+        let tcp = TcpListener::bind(address).await?;
+        match UdpSocket::bind(tcp.local_addr()?).await {
+            Ok(udp) => return Ok((tcp, udp)),
+            Err(e) => last = Some(e),
+        }
+    }
+    Err(last.unwrap_or_else(|| io::ErrorKind::AddrInUse.into()))
+}
+
+fn own_record(settings: &NodeSettings, addresses: Addresses, incarnation: Incarnation) -> Record {
+    let beside = settings.target.as_ref().map(|t| Beside {
+        instance: settings.instance.as_str().into(),
+        service: t.service.clone(),
+        slots: t.slots,
+    });
+    Record {
+        peer: addresses.peers,
+        gate: addresses.gate.port(),
+        incarnation,
+        sequence: 0,
+        zone: settings.zone.as_str().into(),
+        health: Health::Down,
+        watcher: false,
+        target: beside,
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Locks a table. A panic elsewhere leaves tables consistent between calls, so poison is ignored.
+fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+    table.lock().unwrap_or_else(|e| e.into_inner())
+}
--- /dev/null
+++ b/src/node/watch.rs
@@ -0,0 +1,147 @@
+//! Watcher slots: taking and renewing them, and watching the head while holding one.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{Node, lock};
+use crate::coordination::distribution::Actions;
+use crate::coordination::slots::{LEASE_TTL, SlotStep};
+use crate::protocol::record::{HEAD_KEY, decode_head, decode_slot, encode_slot, slot_key};
+use crate::state::id::Version;
+use crate::transport::platform::{Platform, PlatformError, Value};
+
+/// Interval between decisions about slots.
+const SLOT_POLL: Duration = Duration::from_millis(500);
+/// Longest wait of one watch call.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Pause after a failed watch call.
+const WATCH_PAUSE: Duration = Duration::from_secs(1);
+
+impl<P: Platform> Node<P> {
+    pub(super) async fn slot_loop(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(SLOT_POLL.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+            if !self.is_ready() || self.is_leaving() {
+                continue;
+            }
+            match self.slot_step() {
+                SlotStep::Idle => {}
+                SlotStep::Take(number) => self.take_slot(number).await,
+                SlotStep::Renew(lease) => self.renew_slot(lease).await,
+                SlotStep::Release(lease) => {
+                    let _ = self.platform.revoke(lease).await;
+                }
+            }
+            self.publish_slot();
+        }
+    }
+
+    fn slot_step(&self) -> SlotStep {
+        let members = lock(&self.members);
+        let own = members.own();
+        let (zone, peer) = (own.zone.clone(), own.peer);
+        lock(&self.slots).step(members.table(), &zone, peer, Instant::now())
+    }
+
+    async fn take_slot(self: &Arc<Self>, number: usize) {
+        let asked = Instant::now();
+        let Ok(lease) = self.platform.grant(LEASE_TTL).await else {
+            return;
+        };
+        let key = slot_key(&self.settings.zone, number);
+        let value = encode_slot(self.addresses.peers);
+        match self.platform.swap(&key, &value, 0, Some(lease)).await {
+            Ok(Some(_)) => {
+                lock(&self.slots).took(number, lease, asked);
+                log::info!("watching slot={key}");
+            }
+            taken => {
+                let _ = self.platform.revoke(lease).await;
+                if taken == Ok(None) {
+                    self.meet_holder(&key).await;
+                }
+            }
+        }
+    }
+
+    /// A slot that looked free is held by a node that this one does not know: meet it.
+    async fn meet_holder(self: &Arc<Self>, key: &str) {
+        let held = self.platform.get(key).await.ok().flatten();
+        let holder = held.and_then(|v| decode_slot(&v.text));
+        if let Some(peer) = holder.filter(|p| !self.knows(p)) {
+            self.join_peers(vec![peer]).await;
+        }
+    }
+
+    async fn renew_slot(&self, lease: u64) {
+        let asked = Instant::now();
+        match self.platform.renew(lease).await {
+            Ok(true) => lock(&self.slots).renewed(lease, asked),
+            Ok(false) => lock(&self.slots).lapsed(lease),
+            Err(_) => {}
+        }
+    }
+
+    fn publish_slot(&self) {
+        let holds = lock(&self.slots).held(Instant::now()).is_some();
+        lock(&self.members).update(|r| r.watcher = holds);
+    }
+
+    pub(super) async fn release_slot(&self) {
+        let held = lock(&self.slots).held(Instant::now());
+        if let Some(h) = held {
+            let _ = self.platform.revoke(h.lease).await;
+        }
+    }
+
+    pub(super) async fn watch_loop(self: Arc<Self>) {
+        let mut revision = 0;
+        loop {
+            if lock(&self.slots).held(Instant::now()).is_none() {
+                tokio::time::sleep(SLOT_POLL).await;
+                continue;
+            }
+            match self.platform.watch(HEAD_KEY, revision, WATCH_WAIT).await {
+                Ok(Some(value)) => {
+                    revision = value.revision;
+                    self.head_seen(&value).await;
+                }
+                Ok(None) => {}
+                Err(PlatformError::NoAnswer | PlatformError::Refused(_)) => {
+                    revision = 0;
+                    tokio::time::sleep(WATCH_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+                }
+            }
+        }
+    }
+
+    async fn head_seen(self: &Arc<Self>, value: &Value) {
+        let Ok(head) = decode_head(&value.text) else {
+            return;
+        };
+        if head.version < self.version() {
+            self.head_went_back(head.version).await;
+            return;
+        }
+        let mut actions = Actions::new();
+        lock(&self.distribution).head_moved(head.version, Instant::now(), &mut actions);
+        self.execute(actions);
+    }
+
+    /// The store lost accepted versions; what this node holds is put back.
+    pub(super) async fn head_went_back(&self, head: Version) {
+        self.rollbacks.fetch_add(1, Ordering::Relaxed);
+        log::warn!(
+            "platform head went back head={head} held={}",
+            self.version()
+        );
+        match self.restore_head().await {
+            Ok(true) => log::warn!("platform head restored version={}", self.version()),
+            Ok(false) => {}
+            Err(e) => log::warn!("platform head not restored: {e}"),
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/peer.rs
@@ -0,0 +1,246 @@
+//! Requests and replies between nodes over TCP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::wire::{WireDelta, WireError, WireRecord, WireSnapshot, convert};
+use crate::coordination::claims::{ClaimVerdict, KeyHash, KeyState, Wish};
+use crate::coordination::distribution::Pulled;
+use crate::coordination::gate::Voided;
+use crate::coordination::outcome::Outcome;
+use crate::state::id::{AttemptId, Incarnation, Version};
+use crate::state::member::Record;
+
+/// What one node asks of another.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerRequest {
+    /// What follows this version; zero asks for the whole.
+    Pull(Version),
+    /// The whole member table; the asker presents itself.
+    Join(Record),
+    /// Fence an attempt, or tell what became of it.
+    Void {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The life of the gate that the attempt was sent to.
+        incarnation: Incarnation,
+        /// Time since it was sent.
+        age: Duration,
+    },
+    /// Write these wishes into the claim books.
+    Claim(Vec<Wish>),
+    /// The version in force.
+    Held,
+}
+
+/// What a node answers.
+#[derive(Clone, Debug)]
+pub enum PeerReply {
+    /// Answer to a pull.
+    Pulled(Pulled),
+    /// Answer to a join: the member table and the version held.
+    Table(Vec<Record>, Version),
+    /// Answer to a void.
+    Voided(Voided),
+    /// Answer to a claim; none when the platform did not answer.
+    Claims(Option<Vec<ClaimVerdict>>),
+    /// Answer to a question for the version in force.
+    Held(Version),
+}
+
+/// Most wishes in one claim request.
+pub const WISHES_MAX: usize = 512;
+
+#[derive(Serialize, Deserialize)]
+enum WireRequest {
+    Pull(u64),
+    Join(WireRecord),
+    Void(u128, u64, u64),
+    Claim(Vec<WireWish>),
+    Held,
+}
+
+#[derive(Serialize, Deserialize)]
+enum WireWish {
+    Claim(u128, u128),
+    Settle(u128, u128, u16),
+    Release(u128, u128),
+}
+
+#[derive(Serialize, Deserialize)]
+enum WireReply {
+    Deltas(Vec<WireDelta>),
+    Whole(WireSnapshot),
+    Busy(Vec<SocketAddr>),
+    Nothing,
+    Failed,
+    Table(Vec<WireRecord>, u64),
+    Fenced,
+    Running,
+    Ended(String),
+    CannotTell,
+    Claims(Option<Vec<WireVerdict>>),
+    Held(u64),
+}
+
+#[derive(Serialize, Deserialize)]
+enum WireVerdict {
+    Granted,
+    Pending,
+    Answered(u16),
+    Full,
+}
+
+impl PeerRequest {
+    /// Encodes the request.
+    pub fn encode(&self) -> Vec<u8> {
+        let wire = match self {
+            PeerRequest::Pull(since) => WireRequest::Pull(since.0),
+            PeerRequest::Join(record) => WireRequest::Join(record.into()),
+            PeerRequest::Void {
+                attempt,
+                incarnation,
+                age,
+            } => WireRequest::Void(attempt.0, incarnation.0, age.as_millis() as u64),
+            PeerRequest::Held => WireRequest::Held,
+            PeerRequest::Claim(wishes) => {
+                WireRequest::Claim(wishes.iter().map(WireWish::from).collect())
+            }
+        };
+        postcard::to_stdvec(&wire).expect("plain data encodes")
+    }
+
+    /// Decodes a request.
+    ///
+    /// # Errors
+    /// [`WireError`] when it is malformed or out of bounds.
+    pub fn decode(bytes: &[u8]) -> Result<PeerRequest, WireError> {
+        Ok(match postcard::from_bytes(bytes)? {
+            WireRequest::Pull(since) => PeerRequest::Pull(Version(since)),
+            WireRequest::Join(record) => PeerRequest::Join(record.try_into()?),
+            WireRequest::Void(attempt, incarnation, age) => PeerRequest::Void {
+                attempt: AttemptId(attempt),
+                incarnation: Incarnation(incarnation),
+                age: Duration::from_millis(age),
+            },
+            WireRequest::Held => PeerRequest::Held,
+            WireRequest::Claim(wishes) if wishes.len() > WISHES_MAX => {
+                return Err(WireError::Bounds("wishes"));
+            }
+            WireRequest::Claim(wishes) => {
+                PeerRequest::Claim(wishes.into_iter().map(Wish::from).collect())
+            }
+        })
+    }
+}
+
+impl From<&Wish> for WireWish {
+    fn from(wish: &Wish) -> WireWish {
+        match *wish {
+            Wish::Claim(k, c) => WireWish::Claim(k.0, c.0),
+            Wish::Settle(k, c, status) => WireWish::Settle(k.0, c.0, status),
+            Wish::Release(k, c) => WireWish::Release(k.0, c.0),
+        }
+    }
+}
+
+impl From<WireWish> for Wish {
+    fn from(wire: WireWish) -> Wish {
+        match wire {
+            WireWish::Claim(k, c) => Wish::Claim(KeyHash(k), AttemptId(c)),
+            WireWish::Settle(k, c, status) => Wish::Settle(KeyHash(k), AttemptId(c), status),
+            WireWish::Release(k, c) => Wish::Release(KeyHash(k), AttemptId(c)),
+        }
+    }
+}
+
+impl PeerReply {
+    /// Encodes the reply.
+    pub fn encode(&self) -> Vec<u8> {
+        let wire = match self {
+            PeerReply::Pulled(pulled) => pulled.into(),
+            PeerReply::Table(records, version) => {
+                WireReply::Table(records.iter().map(WireRecord::from).collect(), version.0)
+            }
+            PeerReply::Held(version) => WireReply::Held(version.0),
+            PeerReply::Voided(Voided::Fenced) => WireReply::Fenced,
+            PeerReply::Voided(Voided::Running) => WireReply::Running,
+            PeerReply::Voided(Voided::Ended(outcome)) => WireReply::Ended(outcome.to_string()),
+            PeerReply::Voided(Voided::CannotTell) => WireReply::CannotTell,
+            PeerReply::Claims(verdicts) => {
+                let wires = |v: &Vec<ClaimVerdict>| v.iter().map(WireVerdict::from).collect();
+                WireReply::Claims(verdicts.as_ref().map(wires))
+            }
+        };
+        postcard::to_stdvec(&wire).expect("plain data encodes")
+    }
+
+    /// Decodes a reply.
+    ///
+    /// # Errors
+    /// [`WireError`] when it is malformed, or a configuration does not have its digest.
+    pub fn decode(bytes: &[u8]) -> Result<PeerReply, WireError> {
+        Ok(match postcard::from_bytes(bytes)? {
+            WireReply::Deltas(wires) => {
+                let deltas = convert(wires)?.into_iter().map(Arc::new);
+                PeerReply::Pulled(Pulled::Deltas(deltas.collect()))
+            }
+            WireReply::Whole(wire) => PeerReply::Pulled(Pulled::Whole(Arc::new(wire.try_into()?))),
+            WireReply::Busy(others) => PeerReply::Pulled(Pulled::Busy(others)),
+            WireReply::Nothing => PeerReply::Pulled(Pulled::Nothing),
+            WireReply::Failed => PeerReply::Pulled(Pulled::Failed),
+            WireReply::Table(wires, version) => PeerReply::Table(convert(wires)?, Version(version)),
+            WireReply::Held(version) => PeerReply::Held(Version(version)),
+            WireReply::Fenced => PeerReply::Voided(Voided::Fenced),
+            WireReply::Running => PeerReply::Voided(Voided::Running),
+            WireReply::Ended(text) => {
+                let outcome = Outcome::parse(&text).ok_or(WireError::Bounds("outcome"))?;
+                PeerReply::Voided(Voided::Ended(outcome))
+            }
+            WireReply::CannotTell => PeerReply::Voided(Voided::CannotTell),
+            WireReply::Claims(wires) => {
+                let verdicts = |w: Vec<WireVerdict>| w.into_iter().map(Into::into).collect();
+                PeerReply::Claims(wires.map(verdicts))
+            }
+        })
+    }
+}
+
+impl From<&Pulled> for WireReply {
+    fn from(pulled: &Pulled) -> WireReply {
+        match pulled {
+            Pulled::Deltas(deltas) => {
+                WireReply::Deltas(deltas.iter().map(|d| WireDelta::from(&**d)).collect())
+            }
+            Pulled::Whole(snapshot) => WireReply::Whole((&**snapshot).into()),
+            Pulled::Busy(others) => WireReply::Busy(others.clone()),
+            Pulled::Nothing => WireReply::Nothing,
+            Pulled::Failed => WireReply::Failed,
+        }
+    }
+}
+
+impl From<&ClaimVerdict> for WireVerdict {
+    fn from(verdict: &ClaimVerdict) -> WireVerdict {
+        match verdict {
+            ClaimVerdict::Granted => WireVerdict::Granted,
+            ClaimVerdict::Held(KeyState::Pending) => WireVerdict::Pending,
+            ClaimVerdict::Held(KeyState::Answered(status)) => WireVerdict::Answered(*status),
+            ClaimVerdict::Full => WireVerdict::Full,
+        }
+    }
+}
+
+impl From<WireVerdict> for ClaimVerdict {
+    fn from(wire: WireVerdict) -> ClaimVerdict {
+        match wire {
+            WireVerdict::Granted => ClaimVerdict::Granted,
+            WireVerdict::Pending => ClaimVerdict::Held(KeyState::Pending),
+            WireVerdict::Answered(status) => ClaimVerdict::Held(KeyState::Answered(status)),
+            WireVerdict::Full => ClaimVerdict::Full,
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/wire.rs
@@ -0,0 +1,372 @@
+//! Wire forms of settings objects, deltas and member records.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::state::digest::Digest;
+use crate::state::id::{ChangeId, Incarnation, Path, PathError, Version};
+use crate::state::member::{Beside, Health, Record};
+use crate::state::object::{Class, Idempotency, Object, Route, Service, TargetSettings, Team};
+use crate::state::snapshot::{Delta, Edit, Entry, Snapshot};
+
+/// Why something from the wire was not understood.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum WireError {
+    /// The bytes are not a message of this protocol version.
+    #[display("message is not understood; upgrade the older of the two nodes")]
+    Malformed,
+    /// A value is outside its bounds.
+    #[display("field `{_0}` is out of bounds; upgrade the older of the two nodes")]
+    Bounds(#[error(not(source))] &'static str),
+    /// The authentication code does not fit.
+    #[display("message is not authentic; give both nodes the same fleet key")]
+    Authentic,
+    /// The message was seen before or is too old.
+    #[display("message is a repetition; it was dropped")]
+    Replay,
+    /// The message is longer than allowed.
+    #[display("message of {_0} bytes is too long; it was dropped")]
+    TooLong(#[error(not(source))] usize),
+}
+
+impl From<PathError> for WireError {
+    fn from(_: PathError) -> WireError {
+        WireError::Bounds("path")
+    }
+}
+
+impl From<postcard::Error> for WireError {
+    fn from(_: postcard::Error) -> WireError {
+        WireError::Malformed
+    }
+}
+
+/// Wire form of [`Object`]; durations in milliseconds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum WireObject {
+    /// A team's token hash.
+    Team(String),
+    /// A service's shed status and health page.
+    Service(Option<u16>, Option<String>),
+    /// A target's settings.
+    Target {
+        /// Service path.
+        service: String,
+        /// Requests at once.
+        slots: u32,
+        /// Connections at once.
+        connections: u32,
+        /// Ramp, in milliseconds.
+        ramp: u64,
+        /// Out of service.
+        drained: bool,
+    },
+    /// A route.
+    Route(Box<WireRoute>),
+}
+
+/// Wire form of [`Route`]; durations in milliseconds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireRoute {
+    host: Option<String>,
+    prefix: String,
+    methods: Vec<String>,
+    service: String,
+    class: u8,
+    deadline: u64,
+    attempts: u8,
+    idempotency: u8,
+    keyed: bool,
+}
+
+impl From<&Object> for WireObject {
+    fn from(object: &Object) -> WireObject {
+        match object {
+            Object::Team(t) => WireObject::Team(t.token_hash.clone()),
+            Object::Service(s) => WireObject::Service(s.shed_status, s.health.clone()),
+            Object::Target(t) => WireObject::Target {
+                service: t.service.to_string(),
+                slots: t.slots,
+                connections: t.connections,
+                ramp: t.ramp.as_millis() as u64,
+                drained: t.drained,
+            },
+            Object::Route(r) => WireObject::Route(Box::new(r.into())),
+        }
+    }
+}
+
+impl From<&Route> for WireRoute {
+    fn from(r: &Route) -> WireRoute {
+        WireRoute {
+            host: r.host.clone(),
+            prefix: r.prefix.clone(),
+            methods: r.methods.to_vec(),
+            service: r.service.to_string(),
+            class: r.class as u8,
+            deadline: r.deadline.as_millis() as u64,
+            attempts: r.attempts,
+            idempotency: r.idempotency as u8,
+            keyed: r.keyed,
+        }
+    }
+}
+
+impl TryFrom<WireObject> for Object {
+    type Error = WireError;
+
+    fn try_from(wire: WireObject) -> Result<Object, WireError> {
+        Ok(match wire {
+            WireObject::Team(token_hash) => Team { token_hash }.into(),
+            WireObject::Service(shed_status, health) => Service {
+                shed_status,
+                health,
+            }
+            .into(),
+            WireObject::Target {
+                service,
+                slots,
+                connections,
+                ramp,
+                drained,
+            } => TargetSettings {
+                service: Path::new(&service)?,
+                slots,
+                connections,
+                ramp: Duration::from_millis(ramp),
+                drained,
+            }
+            .into(),
+            WireObject::Route(r) => Route::try_from(*r)?.into(),
+        })
+    }
+}
+
+impl TryFrom<WireRoute> for Route {
+    type Error = WireError;
+
+    fn try_from(wire: WireRoute) -> Result<Route, WireError> {
+        let policies = [
+            Idempotency::ByMethod,
+            Idempotency::Always,
+            Idempotency::Never,
+        ];
+        let class = Class::ALL.get(usize::from(wire.class));
+        let policy = policies.get(usize::from(wire.idempotency));
+        Ok(Route {
+            host: wire.host,
+            prefix: wire.prefix,
+            methods: wire.methods.into(),
+            service: Path::new(&wire.service)?,
+            class: *class.ok_or(WireError::Bounds("class"))?,
+            deadline: Duration::from_millis(wire.deadline),
+            attempts: wire.attempts,
+            idempotency: *policy.ok_or(WireError::Bounds("idempotency"))?,
+            keyed: wire.keyed,
+        })
+    }
+}
+
+/// Wire form of [`Entry`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireEntry {
+    path: String,
+    object: WireObject,
+}
+
+impl From<&Entry> for WireEntry {
+    fn from(e: &Entry) -> WireEntry {
+        WireEntry {
+            path: e.path.to_string(),
+            object: (&*e.object).into(),
+        }
+    }
+}
+
+impl TryFrom<WireEntry> for Entry {
+    type Error = WireError;
+
+    fn try_from(wire: WireEntry) -> Result<Entry, WireError> {
+        Ok(Entry {
+            path: Path::new(&wire.path)?,
+            object: Arc::new(wire.object.try_into()?),
+        })
+    }
+}
+
+/// Wire form of [`Edit`]; no object deletes the path.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireEdit {
+    path: String,
+    object: Option<WireObject>,
+}
+
+impl From<&Edit> for WireEdit {
+    fn from(edit: &Edit) -> WireEdit {
+        let object = match edit {
+            Edit::Put(_, object) => Some((&**object).into()),
+            Edit::Delete(_) => None,
+        };
+        WireEdit {
+            path: edit.path().to_string(),
+            object,
+        }
+    }
+}
+
+impl TryFrom<WireEdit> for Edit {
+    type Error = WireError;
+
+    fn try_from(wire: WireEdit) -> Result<Edit, WireError> {
+        let path = Path::new(&wire.path)?;
+        Ok(match wire.object {
+            Some(object) => Edit::Put(path, Arc::new(object.try_into()?)),
+            None => Edit::Delete(path),
+        })
+    }
+}
+
+/// Wire form of [`Delta`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireDelta {
+    version: u64,
+    digest: [u8; 32],
+    change: u128,
+    author: String,
+    edits: Vec<WireEdit>,
+}
+
+impl From<&Delta> for WireDelta {
+    fn from(d: &Delta) -> WireDelta {
+        WireDelta {
+            version: d.version.0,
+            digest: d.digest.0,
+            change: d.change.0,
+            author: d.author.clone(),
+            edits: d.edits.iter().map(WireEdit::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireDelta> for Delta {
+    type Error = WireError;
+
+    fn try_from(wire: WireDelta) -> Result<Delta, WireError> {
+        let edits = wire.edits.into_iter().map(Edit::try_from);
+        Ok(Delta {
+            version: Version(wire.version),
+            digest: Digest(wire.digest),
+            change: ChangeId(wire.change),
+            author: wire.author,
+            edits: edits.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+/// Wire form of a whole [`Snapshot`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireSnapshot {
+    version: u64,
+    digest: [u8; 32],
+    change: u128,
+    entries: Vec<WireEntry>,
+}
+
+impl From<&Snapshot> for WireSnapshot {
+    fn from(s: &Snapshot) -> WireSnapshot {
+        WireSnapshot {
+            version: s.version().0,
+            digest: s.digest().0,
+            change: s.change().0,
+            entries: s.entries().map(WireEntry::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireSnapshot> for Snapshot {
+    type Error = WireError;
+
+    fn try_from(wire: WireSnapshot) -> Result<Snapshot, WireError> {
+        let entries = wire.entries.into_iter().map(Entry::try_from);
+        let entries = entries.collect::<Result<_, _>>()?;
+        let (version, change) = (Version(wire.version), ChangeId(wire.change));
+        Snapshot::from_entries(version, change, Digest(wire.digest), entries)
+            .map_err(|_| WireError::Bounds("digest"))
+    }
+}
+
+/// Wire form of [`Record`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireRecord {
+    peer: SocketAddr,
+    gate: u16,
+    incarnation: u64,
+    sequence: u32,
+    zone: String,
+    health: u8,
+    watcher: bool,
+    target: Option<(String, String, u32)>,
+}
+
+const HEALTHS: [Health; 6] = [
+    Health::Cold,
+    Health::Ready,
+    Health::Down,
+    Health::Suspect,
+    Health::Leaving,
+    Health::Gone,
+];
+
+impl From<&Record> for WireRecord {
+    fn from(r: &Record) -> WireRecord {
+        let target = r.target.as_ref();
+        WireRecord {
+            peer: r.peer,
+            gate: r.gate,
+            incarnation: r.incarnation.0,
+            sequence: r.sequence,
+            zone: r.zone.to_string(),
+            health: r.health as u8,
+            watcher: r.watcher,
+            target: target.map(|t| (t.instance.to_string(), t.service.to_string(), t.slots)),
+        }
+    }
+}
+
+impl TryFrom<WireRecord> for Record {
+    type Error = WireError;
+
+    fn try_from(wire: WireRecord) -> Result<Record, WireError> {
+        let health = HEALTHS.get(usize::from(wire.health));
+        Ok(Record {
+            peer: wire.peer,
+            gate: wire.gate,
+            incarnation: Incarnation(wire.incarnation),
+            sequence: wire.sequence,
+            zone: wire.zone.into(),
+            health: *health.ok_or(WireError::Bounds("health"))?,
+            watcher: wire.watcher,
+            target: wire.target.map(beside).transpose()?,
+        })
+    }
+}
+
+fn beside((instance, service, slots): (String, String, u32)) -> Result<Beside, WireError> {
+    Ok(Beside {
+        instance: instance.into(),
+        service: Path::new(&service)?,
+        slots,
+    })
+}
+
+/// Converts a list of wire forms, refusing all if one is refused.
+pub fn convert<W, T>(wires: Vec<W>) -> Result<Vec<T>, WireError>
+where
+    T: TryFrom<W, Error = WireError>,
+{
+    wires.into_iter().map(T::try_from).collect()
+}
--- /dev/null
+++ b/src/standin/server.rs
@@ -0,0 +1,155 @@
+//! The platform stand-in over HTTP, as `docs/PLATFORM.md` lays it out, with faults set by an
+//! administrator's page.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gotham::helpers::http::Body;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use serde_json::json;
+
+use super::faults::Faults;
+use super::platform::MemoryPlatform;
+use super::store::VALUE_MAX;
+use crate::transport::http::{Endpoint, empty, full, json as json_response, read_body};
+use crate::transport::kv::{EXPECT_HEADER, LEASE_HEADER, REVISION_HEADER};
+use crate::transport::platform::{Platform, PlatformError, Value};
+
+/// HTTP service of the platform stand-in.
+pub struct PlatformServer(pub MemoryPlatform);
+
+type Answered = Result<Response<Body>, PlatformError>;
+
+impl Endpoint for PlatformServer {
+    async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        let body = match read_body(body, VALUE_MAX + 1).await {
+            Ok(body) => String::from_utf8_lossy(&body).into_owned(),
+            Err(_) => return text(StatusCode::PAYLOAD_TOO_LARGE, "value is over one megabyte"),
+        };
+        let path = parts.uri.path().trim_start_matches('/');
+        let (area, rest) = path.split_once('/').unwrap_or((path, ""));
+        let query = parts.uri.query().unwrap_or_default();
+        let answered = match (&parts.method, area) {
+            (&Method::POST, "faults") => return self.set_faults(&body),
+            (&Method::GET, "calls") => return json_response(StatusCode::OK, &self.0.calls()),
+            (&Method::GET, "kv") => self.get(rest).await,
+            (&Method::PUT, "kv") => self.put(rest, &body, &parts.headers).await,
+            (&Method::DELETE, "kv") => self.delete(rest, &parts.headers).await,
+            (&Method::GET, "list") => self.list(rest).await,
+            (&Method::GET, "watch") => self.watch(rest, query).await,
+            (&Method::POST, "lease") if rest.is_empty() => self.grant(query).await,
+            (&Method::POST, "lease") => self.renew(rest).await,
+            (&Method::DELETE, "lease") => self.revoke(rest).await,
+            _ => return text(StatusCode::NOT_FOUND, "no such page"),
+        };
+        answered.unwrap_or_else(|e| match e {
+            PlatformError::NoAnswer => empty(StatusCode::INTERNAL_SERVER_ERROR),
+            PlatformError::Refused(why) => text(StatusCode::TOO_MANY_REQUESTS, why),
+        })
+    }
+}
+
+impl PlatformServer {
+    fn set_faults(&self, body: &str) -> Response<Body> {
+        match serde_json::from_str::<Faults>(body) {
+            Ok(faults) => {
+                self.0.set_faults(faults);
+                json_response(StatusCode::OK, &faults)
+            }
+            Err(e) => text(StatusCode::BAD_REQUEST, e.to_string()),
+        }
+    }
+
+    async fn get(&self, key: &str) -> Answered {
+        Ok(found(self.0.get(key).await?))
+    }
+
+    async fn put(&self, key: &str, value: &str, headers: &HeaderMap) -> Answered {
+        if value.len() > VALUE_MAX {
+            return Ok(text(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "value is over one megabyte",
+            ));
+        }
+        let expected = number(headers, EXPECT_HEADER).unwrap_or(0);
+        let lease = number(headers, LEASE_HEADER);
+        let swapped = self.0.swap(key, value, expected, lease).await?;
+        Ok(match swapped {
+            Some(revision) => with_revision(empty(StatusCode::OK), revision),
+            None => empty(StatusCode::PRECONDITION_FAILED),
+        })
+    }
+
+    async fn delete(&self, key: &str, headers: &HeaderMap) -> Answered {
+        let expected = number(headers, EXPECT_HEADER).unwrap_or(0);
+        Ok(empty(match self.0.delete(key, expected).await? {
+            true => StatusCode::OK,
+            false => StatusCode::PRECONDITION_FAILED,
+        }))
+    }
+
+    async fn list(&self, prefix: &str) -> Answered {
+        let listed = self.0.list(prefix).await?;
+        let item = |(key, v): &(String, Value)| json!({ "key": key, "value": v.text, "revision": v.revision });
+        let items: Vec<_> = listed.iter().map(item).collect();
+        Ok(json_response(StatusCode::OK, &items))
+    }
+
+    async fn watch(&self, key: &str, query: &str) -> Answered {
+        let after = parameter(query, "after").unwrap_or(0);
+        let wait = Duration::from_millis(parameter(query, "wait").unwrap_or(0));
+        let changed = self.0.watch(key, after, wait).await?;
+        Ok(match changed {
+            Some(value) => found(Some(value)),
+            None => empty(StatusCode::NO_CONTENT),
+        })
+    }
+
+    async fn grant(&self, query: &str) -> Answered {
+        let ttl = Duration::from_millis(parameter(query, "ttl").unwrap_or(1000));
+        let lease = self.0.grant(ttl).await?;
+        Ok(text(StatusCode::OK, lease.to_string()))
+    }
+
+    async fn renew(&self, lease: &str) -> Answered {
+        let renewed = self.0.renew(lease.parse().unwrap_or(0)).await?;
+        Ok(empty(match renewed {
+            true => StatusCode::OK,
+            false => StatusCode::NOT_FOUND,
+        }))
+    }
+
+    async fn revoke(&self, lease: &str) -> Answered {
+        self.0.revoke(lease.parse().unwrap_or(0)).await?;
+        Ok(empty(StatusCode::OK))
+    }
+}
+
+fn found(value: Option<Value>) -> Response<Body> {
+    match value {
+        Some(value) => with_revision(text(StatusCode::OK, value.text), value.revision),
+        None => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn with_revision(mut response: Response<Body>, revision: u64) -> Response<Body> {
+    let value = HeaderValue::from(revision);
+    response.headers_mut().insert(REVISION_HEADER, value);
+    response
+}
+
+fn text(status: StatusCode, body: impl Into<String>) -> Response<Body> {
+    full(status, "text/plain", body.into())
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn parameter(query: &str, name: &str) -> Option<u64> {
+    let pairs = query.split('&').filter_map(|p| p.split_once('='));
+    let mut named = pairs.filter(|(n, _)| *n == name);
+    named.next().and_then(|(_, v)| v.parse().ok())
+}
--- /dev/null
+++ b/src/standin/store.rs
@@ -0,0 +1,132 @@
+//! The key-value store behind the platform stand-in: plain data, with time handed in.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::transport::platform::Value;
+
+/// Largest value, in bytes.
+pub const VALUE_MAX: usize = 1 << 20;
+
+#[derive(Clone, Debug)]
+struct Slot {
+    value: Value,
+    lease: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Duration,
+    expires: Instant,
+}
+
+/// Calls counted since start; a waiting watch is one read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Calls {
+    /// Gets, lists and watches.
+    pub reads: u64,
+    /// Swaps, deletes, and lease calls.
+    pub writes: u64,
+}
+
+/// Keys, revisions and leases.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    slots: BTreeMap<String, Slot>,
+    leases: HashMap<u64, Lease>,
+    revision: u64,
+    next_lease: u64,
+    /// Calls counted since start.
+    pub calls: Calls,
+}
+
+impl Store {
+    /// Reads a key.
+    pub fn get(&self, key: &str) -> Option<Value> {
+        self.slots.get(key).map(|s| s.value.clone())
+    }
+
+    /// Reads all keys with a prefix.
+    pub fn list(&self, prefix: &str) -> Vec<(String, Value)> {
+        let from = self.slots.range(prefix.to_string()..);
+        let within = from.take_while(|(k, _)| k.starts_with(prefix));
+        within.map(|(k, s)| (k.clone(), s.value.clone())).collect()
+    }
+
+    /// Writes a key if its revision is the expected one, zero for absent. A lease that no longer
+    /// exists refuses the write.
+    pub fn swap(
+        &mut self,
+        key: &str,
+        text: &str,
+        expected: u64,
+        lease: Option<u64>,
+    ) -> Option<u64> {
+        if lease.is_some_and(|l| !self.leases.contains_key(&l)) {
+            return None;
+        }
+        if self.revision_of(key) != expected {
+            return None;
+        }
+        self.revision += 1;
+        let value = Value {
+            text: text.to_string(),
+            revision: self.revision,
+        };
+        self.slots.insert(key.to_string(), Slot { value, lease });
+        Some(self.revision)
+    }
+
+    /// Removes a key if its revision is the expected one.
+    pub fn delete(&mut self, key: &str, expected: u64) -> bool {
+        let matches = expected > 0 && self.revision_of(key) == expected;
+        if matches {
+            self.revision += 1;
+            self.slots.remove(key);
+        }
+        matches
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, ttl: Duration, now: Instant) -> u64 {
+        self.next_lease += 1;
+        let expires = now + ttl;
+        self.leases.insert(self.next_lease, Lease { ttl, expires });
+        self.next_lease
+    }
+
+    /// Renews a lease. Returns whether it still exists.
+    pub fn renew(&mut self, lease: u64, now: Instant) -> bool {
+        let held = self.leases.get_mut(&lease);
+        held.map(|l| l.expires = now + l.ttl).is_some()
+    }
+
+    /// Removes a lease and the keys that hang on it.
+    pub fn revoke(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        self.slots.retain(|_, s| s.lease != Some(lease));
+    }
+
+    /// Removes lapsed leases and their keys.
+    pub fn expire(&mut self, now: Instant) {
+        let lapsed = |(_, l): &(&u64, &Lease)| l.expires <= now;
+        let lapsed: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(lapsed)
+            .map(|(id, _)| *id)
+            .collect();
+        lapsed.into_iter().for_each(|l| self.revoke(l));
+    }
+
+    /// Moves every lease's end, as a lease clock that stood still would.
+    pub fn extend_leases(&mut self, by: Duration) {
+        self.leases.values_mut().for_each(|l| l.expires += by);
+    }
+
+    fn revision_of(&self, key: &str) -> u64 {
+        self.slots.get(key).map_or(0, |s| s.value.revision)
+    }
+}
--- /dev/null
+++ b/src/standin/target.rs
@@ -0,0 +1,221 @@
+//! A target stand-in: slots, service time, cold start, shedding, lagging health, and a count of
+//! runs by request id, by which a second run of one request is seen.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use gotham::helpers::http::Body;
+use http_body::Frame;
+use http_body_util::StreamBody;
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::protocol::headers::DEADLINE;
+use crate::transport::http::{Endpoint, empty, full, json as json_response, read_body};
+
+/// Header that names a request.
+pub const ID_HEADER: &str = "x-request-id";
+/// Status with which the stand-in sheds.
+pub const SHED_STATUS: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+/// Largest request body, in bytes.
+const BODY_MAX: usize = 64 << 20;
+/// Bytes of an answer sent at once.
+const CHUNK: usize = 16 << 10;
+
+/// How a target behaves; may be changed while it runs.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Behaviour {
+    /// Requests run at once; more are shed.
+    pub slots: u32,
+    /// Time to run a request, in milliseconds.
+    pub service_ms: u64,
+    /// Time after start for which each request takes four times as long, in milliseconds.
+    pub cold_ms: u64,
+    /// Whether every request is shed.
+    pub shed: bool,
+    /// Whether the health page says that all is well.
+    pub healthy: bool,
+    /// Whether answers are cut after their first half.
+    pub cut: bool,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Behaviour {
+            slots: 12,
+            service_ms: 2,
+            cold_ms: 0,
+            shed: false,
+            healthy: true,
+            cut: false,
+        }
+    }
+}
+
+/// A target in this process.
+pub struct Target {
+    behaviour: Mutex<Behaviour>,
+    runs: Mutex<HashMap<String, u32>>,
+    running: AtomicU32,
+    started: Instant,
+}
+
+/// What an answer must hold: the request's own id, repeated to the asked length.
+pub fn expected_answer(id: &str, length: usize) -> Vec<u8> {
+    let unit = format!("{id};");
+    unit.bytes().cycle().take(length.max(unit.len())).collect()
+}
+
+impl Target {
+    /// A target with this behaviour.
+    pub fn new(behaviour: Behaviour) -> Arc<Target> {
+        Arc::new(Target {
+            behaviour: Mutex::new(behaviour),
+            runs: Mutex::new(HashMap::new()),
+            running: AtomicU32::new(0),
+            started: Instant::now(),
+        })
+    }
+
+    /// Changes the behaviour.
+    pub fn set(&self, behaviour: Behaviour) {
+        *locked(&self.behaviour) = behaviour;
+    }
+
+    /// How often each request ran.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        locked(&self.runs).clone()
+    }
+
+    async fn run(&self, request: Request<Body>) -> Response<Body> {
+        let behaviour = *locked(&self.behaviour);
+        let running = Running::new(&self.running);
+        if behaviour.shed || running.count > behaviour.slots {
+            return empty(SHED_STATUS);
+        }
+        let id = header(&request, ID_HEADER).unwrap_or_else(|| "none".to_string());
+        let length = parameter(&request, "bytes").unwrap_or(0) as usize;
+        let time = self.service_time(&request, behaviour);
+        let left = header(&request, DEADLINE).and_then(|v| v.parse().ok());
+        // The run counts once the whole request is there, as an order book would count it.
+        if read_body(request.into_body(), BODY_MAX).await.is_err() {
+            return empty(StatusCode::BAD_REQUEST);
+        }
+        *locked(&self.runs).entry(id.clone()).or_default() += 1;
+        match left.map(Duration::from_millis) {
+            Some(left) if left < time => {
+                tokio::time::sleep(left).await;
+                return empty(StatusCode::GATEWAY_TIMEOUT);
+            }
+            _ => tokio::time::sleep(time).await,
+        }
+        answer(&id, length, behaviour.cut)
+    }
+
+    fn service_time(&self, request: &Request<Body>, behaviour: Behaviour) -> Duration {
+        let asked = parameter(request, "ms").unwrap_or(behaviour.service_ms);
+        let cold = self.started.elapsed() < Duration::from_millis(behaviour.cold_ms);
+        Duration::from_millis(asked) * if cold { 4 } else { 1 }
+    }
+
+    async fn control(&self, request: Request<Body>) -> Response<Body> {
+        let body = read_body(request.into_body(), CHUNK).await;
+        let parsed = body.map(|b| serde_json::from_slice::<Behaviour>(&b));
+        match parsed {
+            Ok(Ok(behaviour)) => {
+                self.set(behaviour);
+                json_response(StatusCode::OK, &behaviour)
+            }
+            _ => empty(StatusCode::BAD_REQUEST),
+        }
+    }
+}
+
+impl Endpoint for Target {
+    async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/_/health") => {
+                let healthy = locked(&self.behaviour).healthy;
+                empty(if healthy {
+                    StatusCode::OK
+                } else {
+                    StatusCode::INTERNAL_SERVER_ERROR
+                })
+            }
+            (&Method::GET, "/_/runs") => json_response(StatusCode::OK, &self.runs()),
+            (&Method::POST, "/_/behaviour") => self.control(request).await,
+            _ => self.run(request).await,
+        }
+    }
+}
+
+struct Running<'a> {
+    running: &'a AtomicU32,
+    count: u32,
+}
+
+impl<'a> Running<'a> {
+    fn new(running: &'a AtomicU32) -> Running<'a> {
+        let count = running.fetch_add(1, Ordering::AcqRel) + 1;
+        Running { running, count }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn answer(id: &str, length: usize, cut: bool) -> Response<Body> {
+    let bytes = expected_answer(id, length);
+    let whole = bytes.len();
+    let mut response = if whole <= CHUNK && !cut {
+        full(StatusCode::OK, "text/plain", bytes)
+    } else {
+        Response::new(stream(bytes, cut))
+    };
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_LENGTH, HeaderValue::from(whole));
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(ID_HEADER, id);
+    }
+    response
+}
+
+fn stream(bytes: Vec<u8>, cut: bool) -> Body {
+    let keep = if cut { bytes.len() / 2 } else { bytes.len() };
+    let chunks: Vec<Bytes> = bytes[..keep]
+        .chunks(CHUNK)
+        .map(Bytes::copy_from_slice)
+        .collect();
+    let frames = chunks.into_iter().map(|c| Ok(Frame::data(c)));
+    let end = cut.then(|| Err(io::Error::from(io::ErrorKind::ConnectionAborted)));
+    Body::new(StreamBody::new(
+        futures_util::stream::iter(frames.chain(end)).boxed(),
+    ))
+}
+
+fn header(request: &Request<Body>, name: &str) -> Option<String> {
+    let value = request.headers().get(name)?;
+    value.to_str().ok().map(str::to_string)
+}
+
+fn parameter(request: &Request<Body>, name: &str) -> Option<u64> {
+    let pairs = request.uri().query()?.split('&');
+    let mut named = pairs.filter_map(|p| p.split_once('='));
+    let (_, value) = named.find(|(n, _)| *n == name)?;
+    value.parse().ok()
+}
+
+fn locked<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+    table.lock().unwrap_or_else(|e| e.into_inner())
+}
--- /dev/null
+++ b/src/state/id.rs
@@ -0,0 +1,124 @@
+//! Newtypes for versions, identifiers and configuration paths.
+
+use std::fmt;
+use std::sync::Arc;
+
+use derive_more::{Display, From};
+
+/// A configuration version. Versions only grow; zero is the empty configuration.
+#[derive(Clone, Copy, Debug, Default, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// The version that follows this one.
+    ///
+    /// ```
+    /// use tarragoncourse::state::id::Version;
+    /// assert_eq!(Version(4).next(), Version(5));
+    /// ```
+    pub fn next(self) -> Version {
+        Version(self.0 + 1)
+    }
+}
+
+/// Names one operator's change. Random, 128 bits, shown as 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Default, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0:032x}")]
+pub struct ChangeId(pub u128);
+
+/// Names one attempt to run one request at one target. Random, 128 bits.
+#[derive(Clone, Copy, Debug, Default, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0:032x}")]
+pub struct AttemptId(pub u128);
+
+/// Tells two lives of one address apart: milliseconds since the Unix epoch at process start,
+/// raised when the process must refute a claim about itself.
+#[derive(Clone, Copy, Debug, Default, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(pub u64);
+
+/// Parses 32 hexadecimal digits into the value of a [`ChangeId`] or [`AttemptId`].
+///
+/// ```
+/// use tarragoncourse::state::id::parse_hex;
+/// assert_eq!(parse_hex("000000000000000000000000000000ff"), Some(255));
+/// assert_eq!(parse_hex("ff"), None);
+/// ```
+pub fn parse_hex(text: &str) -> Option<u128> {
+    if text.len() != 32 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    u128::from_str_radix(text, 16).ok()
+}
+
+/// Longest accepted path, in bytes.
+pub const PATH_MAX_BYTES: usize = 200;
+
+/// Where a setting lives: `/`-separated segments of lower-case letters, digits, `-`, `_` and `.`.
+/// The first segment names the owning team. Cheap to clone.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Path(Arc<str>);
+
+/// Why a text is not a [`Path`].
+#[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
+pub enum PathError {
+    /// The text is empty or over the length bound.
+    #[display("a path has 1 to {PATH_MAX_BYTES} bytes; shorten it")]
+    Length,
+    /// A segment is empty or holds a character outside the allowed set.
+    #[display(
+        "path `{_0}` must be segments of a-z, 0-9, `-`, `_`, `.` joined by single `/`; rename it"
+    )]
+    Segment(#[error(not(source))] String),
+}
+
+impl Path {
+    /// Checks and wraps a path.
+    ///
+    /// ```
+    /// use tarragoncourse::state::id::Path;
+    /// let p = Path::new("guild/routes/cutting").unwrap();
+    /// assert_eq!(p.team(), "guild");
+    /// assert!(Path::new("guild//cutting").is_err());
+    /// ```
+    pub fn new(text: &str) -> Result<Path, PathError> {
+        if text.is_empty() || text.len() > PATH_MAX_BYTES {
+            return Err(PathError::Length);
+        }
+        if !text.split('/').all(is_segment) {
+            return Err(PathError::Segment(text.to_string()));
+        }
+        Ok(Path(Arc::from(text)))
+    }
+
+    /// The path as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// The first segment: the team that owns the path.
+    pub fn team(&self) -> &str {
+        self.0.split('/').next().unwrap_or_default()
+    }
+
+    /// The last segment.
+    pub fn name(&self) -> &str {
+        self.0.rsplit('/').next().unwrap_or_default()
+    }
+}
+
+fn is_segment(s: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-_.".contains(&b);
+    !s.is_empty() && s.bytes().all(allowed)
+}
+
+impl fmt::Display for Path {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for Path {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", &*self.0)
+    }
+}
--- /dev/null
+++ b/src/state/member.rs
@@ -0,0 +1,267 @@
+//! What each node publishes about itself and its target, and the table of all such records.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use derive_more::Display;
+
+use super::digest::Feed;
+use super::id::{Incarnation, Path};
+
+/// State of a member, in the order in which claims of one incarnation overrule each other.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Health {
+    /// Started a short while ago; takes a growing share.
+    #[display("cold")]
+    Cold,
+    /// Takes its whole share.
+    #[display("ready")]
+    Ready,
+    /// The node lives; its target does not answer.
+    #[display("down")]
+    Down,
+    /// Missed its probes; gone unless it refutes.
+    #[display("suspect")]
+    Suspect,
+    /// Stopping on purpose: finishes its work, takes none.
+    #[display("leaving")]
+    Leaving,
+    /// Stopped, or failed without refuting.
+    #[display("gone")]
+    Gone,
+}
+
+impl Health {
+    /// Whether new requests may be sent there.
+    pub fn takes_work(self) -> bool {
+        matches!(self, Health::Cold | Health::Ready | Health::Suspect)
+    }
+
+    /// Whether the node itself is taken to be running.
+    pub fn is_alive(self) -> bool {
+        !matches!(self, Health::Gone)
+    }
+}
+
+/// The target that a node stands beside.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Beside {
+    /// Name of the target instance.
+    pub instance: Arc<str>,
+    /// Service that the target belongs to.
+    pub service: Path,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// What one node says of itself. Identified by its peer address.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Record {
+    /// Peer address, UDP and TCP.
+    pub peer: SocketAddr,
+    /// Port of the gate at the same IP address.
+    pub gate: u16,
+    /// The life of the address that the record speaks of.
+    pub incarnation: Incarnation,
+    /// Raised by the node with each change of its own record.
+    pub sequence: u32,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// State.
+    pub health: Health,
+    /// Whether the node holds a watcher slot.
+    pub watcher: bool,
+    /// The target beside the node, if it has one.
+    pub target: Option<Beside>,
+}
+
+impl Record {
+    /// Where the node's gate listens.
+    pub fn gate_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.peer.ip(), self.gate)
+    }
+
+    /// Order of claims about one address: the greater one wins.
+    pub fn precedence(&self) -> (Incarnation, u32, Health) {
+        (self.incarnation, self.sequence, self.health)
+    }
+
+    /// A 64-bit digest, for comparing tables.
+    pub fn mark(&self) -> u64 {
+        let mut feed = Feed::default();
+        feed.text(&self.peer.to_string());
+        feed.number(self.incarnation.0);
+        feed.number(self.sequence.into());
+        feed.number(self.health as u64);
+        let d = feed.finish().0;
+        u64::from_le_bytes(d[..8].try_into().expect("eight bytes"))
+    }
+}
+
+/// Number of buckets in which tables are compared.
+pub const TABLE_BUCKETS: usize = 64;
+
+/// Whether a record told the table something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merge {
+    /// The record is newer than what was held.
+    Newer,
+    /// The very record is held.
+    Known,
+    /// A newer record is held.
+    Older,
+}
+
+/// All records known, with digests to compare tables and an index by zone and service.
+#[derive(Clone, Debug)]
+pub struct MemberTable {
+    records: BTreeMap<SocketAddr, Arc<Record>>,
+    zones: BTreeMap<Arc<str>, BTreeSet<SocketAddr>>,
+    services: BTreeMap<Path, BTreeSet<SocketAddr>>,
+    marks: [u64; TABLE_BUCKETS],
+    alive: usize,
+}
+
+impl Default for MemberTable {
+    fn default() -> Self {
+        MemberTable {
+            records: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            services: BTreeMap::new(),
+            marks: [0; TABLE_BUCKETS],
+            alive: 0,
+        }
+    }
+}
+
+impl MemberTable {
+    /// Takes a record in if it is newer than the one held for its address.
+    pub fn merge(&mut self, record: &Record) -> Merge {
+        let held = self.records.get(&record.peer).cloned();
+        if let Some(held) = &held {
+            match record.precedence().cmp(&held.precedence()) {
+                std::cmp::Ordering::Less => return Merge::Older,
+                std::cmp::Ordering::Equal => return Merge::Known,
+                std::cmp::Ordering::Greater => self.unlink(held),
+            }
+        }
+        self.link(Arc::new(record.clone()));
+        Merge::Newer
+    }
+
+    /// Forgets an address.
+    pub fn remove(&mut self, peer: &SocketAddr) {
+        if let Some(held) = self.records.get(peer).cloned() {
+            self.unlink(&held);
+            self.records.remove(peer);
+        }
+    }
+
+    /// The record of an address.
+    pub fn get(&self, peer: &SocketAddr) -> Option<&Arc<Record>> {
+        self.records.get(peer)
+    }
+
+    /// All records, by address.
+    pub fn records(&self) -> impl Iterator<Item = &Arc<Record>> {
+        self.records.values()
+    }
+
+    /// Number of records, gone ones included.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Number of records that are not gone.
+    pub fn alive(&self) -> usize {
+        self.alive
+    }
+
+    /// Live addresses of a zone, in order.
+    pub fn zone(&self, zone: &str) -> Option<&BTreeSet<SocketAddr>> {
+        self.zones.get(zone)
+    }
+
+    /// Records of a service's live targets, in address order.
+    pub fn service(&self, service: &Path) -> impl Iterator<Item = &Arc<Record>> {
+        let peers = self.services.get(service).into_iter().flatten();
+        peers.filter_map(|p| self.records.get(p))
+    }
+
+    /// The two live neighbours of an address on the ring of its zone.
+    pub fn neighbours(&self, zone: &str, of: &SocketAddr) -> [Option<SocketAddr>; 2] {
+        let Some(ring) = self.zones.get(zone) else {
+            return [None, None];
+        };
+        let after = ring.range((std::ops::Bound::Excluded(of), std::ops::Bound::Unbounded));
+        let next = after.chain(ring.iter()).find(|a| *a != of).copied();
+        let before = ring.range(..of).rev();
+        let last = before.chain(ring.iter().rev()).find(|a| *a != of).copied();
+        [next, last.filter(|l| Some(*l) != next)]
+    }
+
+    /// Digest of the whole table.
+    pub fn digest(&self) -> u64 {
+        let fold = |acc: u64, m: &u64| acc.rotate_left(7) ^ m.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        self.marks.iter().fold(0, fold)
+    }
+
+    /// Digest of each bucket.
+    pub fn marks(&self) -> &[u64; TABLE_BUCKETS] {
+        &self.marks
+    }
+
+    /// Records of the buckets whose digests differ from another table's.
+    pub fn differing<'a>(&'a self, marks: &'a [u64]) -> impl Iterator<Item = &'a Arc<Record>> {
+        let differs = |r: &&Arc<Record>| {
+            let at = bucket_of(&r.peer);
+            marks.get(at) != Some(&self.marks[at])
+        };
+        self.records.values().filter(differs)
+    }
+
+    fn link(&mut self, record: Arc<Record>) {
+        self.marks[bucket_of(&record.peer)] ^= record.mark();
+        if record.health.is_alive() {
+            self.alive += 1;
+            let zone = self.zones.entry(record.zone.clone()).or_default();
+            zone.insert(record.peer);
+            if let Some(t) = &record.target {
+                let service = self.services.entry(t.service.clone()).or_default();
+                service.insert(record.peer);
+            }
+        }
+        self.records.insert(record.peer, record);
+    }
+
+    fn unlink(&mut self, record: &Record) {
+        self.marks[bucket_of(&record.peer)] ^= record.mark();
+        if !record.health.is_alive() {
+            return;
+        }
+        self.alive -= 1;
+        if let Some(zone) = self.zones.get_mut(&record.zone) {
+            zone.remove(&record.peer);
+        }
+        let service = record.target.as_ref().map(|t| &t.service);
+        if let Some(peers) = service.and_then(|s| self.services.get_mut(s)) {
+            peers.remove(&record.peer);
+        }
+    }
+}
+
+fn bucket_of(peer: &SocketAddr) -> usize {
+    let mut hash = u64::from(peer.port());
+    let fold = |acc: u64, b: u8| (acc ^ u64::from(b)).wrapping_mul(0x0100_0000_01B3);
+    hash = match peer.ip() {
+        std::net::IpAddr::V4(ip) => ip.octets().into_iter().fold(hash, fold),
+        std::net::IpAddr::V6(ip) => ip.octets().into_iter().fold(hash, fold),
+    };
+    (hash ^ (hash >> 29)) as usize % TABLE_BUCKETS
+}
--- /dev/null
+++ b/src/state/object.rs
@@ -0,0 +1,198 @@
+//! The settings objects that operators write: teams, services, targets and routes.
+
+use std::time::Duration;
+
+use derive_more::{Display, From};
+use smallvec::SmallVec;
+
+use super::digest::{Digest, Feed};
+use super::id::Path;
+
+/// One settings object. Its path is kept beside it.
+#[derive(Clone, Debug, PartialEq, From)]
+pub enum Object {
+    /// The owner of a subtree.
+    Team(Team),
+    /// A named group of targets.
+    Service(Service),
+    /// Limits and state of one target instance.
+    Target(TargetSettings),
+    /// Which requests go to which service, and under what policy.
+    Route(Route),
+}
+
+/// The owner of the subtree named by its path's only segment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    /// Salted hash of the team's bearer token, `salt:hash` in hexadecimal.
+    pub token_hash: String,
+}
+
+/// A named group of targets.
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Service {
+    /// HTTP status with which targets say that they shed a request without running it.
+    pub shed_status: Option<u16>,
+    /// HTTP path of the targets' health page; none means the connection alone is checked.
+    pub health: Option<String>,
+}
+
+/// Limits and state of one target instance, matched by the instance's name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetSettings {
+    /// Path of the service that the instance belongs to.
+    pub service: Path,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// Connections that the target accepts.
+    pub connections: u32,
+    /// Time over which a cold target's share grows to its whole.
+    pub ramp: Duration,
+    /// Whether the operators have taken the target out of service.
+    pub drained: bool,
+}
+
+/// Priority class of a request, most urgent first.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Class {
+    /// Internal lookups that other calls wait for.
+    #[display("lookup")]
+    Lookup,
+    /// Orders and deposits.
+    #[display("order")]
+    Order,
+    /// Calls that a person waits for.
+    #[default]
+    #[display("interactive")]
+    Interactive,
+    /// Uploads and other long transfers.
+    #[display("bulk")]
+    Bulk,
+}
+
+impl Class {
+    /// All classes, most urgent first.
+    pub const ALL: [Class; 4] = [Class::Lookup, Class::Order, Class::Interactive, Class::Bulk];
+
+    /// Finds a class by its settings name.
+    ///
+    /// ```
+    /// use tarragoncourse::state::object::Class;
+    /// assert_eq!(Class::parse("bulk"), Some(Class::Bulk));
+    /// ```
+    pub fn parse(text: &str) -> Option<Class> {
+        Class::ALL.into_iter().find(|c| c.to_string() == text)
+    }
+}
+
+/// Which requests of a route may run more than once.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+pub enum Idempotency {
+    /// As RFC 9110 defines for the request's method.
+    #[default]
+    #[display("by-method")]
+    ByMethod,
+    /// Every request is idempotent.
+    #[display("always")]
+    Always,
+    /// No request is idempotent, whatever its method.
+    #[display("never")]
+    Never,
+}
+
+/// Which requests go to which service, and under what policy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Host that the request must name, in lower case; none matches any host.
+    pub host: Option<String>,
+    /// Path prefix, matched on whole segments.
+    pub prefix: String,
+    /// Methods in upper case; empty matches any method.
+    pub methods: SmallVec<[String; 4]>,
+    /// Path of the service that answers.
+    pub service: Path,
+    /// Priority at the gate.
+    pub class: Class,
+    /// Longest time a request may take.
+    pub deadline: Duration,
+    /// Most attempts a request may use, the first included.
+    pub attempts: u8,
+    /// Which requests may run more than once.
+    pub idempotency: Idempotency,
+    /// Whether an `Idempotency-Key` header is required and claimed before the request runs.
+    pub keyed: bool,
+}
+
+impl Object {
+    /// The settings name of the object's kind.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Object::Team(_) => "team",
+            Object::Service(_) => "service",
+            Object::Target(_) => "target",
+            Object::Route(_) => "route",
+        }
+    }
+
+    /// The service that the object refers to, if it refers to one.
+    pub fn service(&self) -> Option<&Path> {
+        match self {
+            Object::Target(t) => Some(&t.service),
+            Object::Route(r) => Some(&r.service),
+            Object::Team(_) | Object::Service(_) => None,
+        }
+    }
+
+    /// Digest of the object under its path.
+    pub fn digest(&self, path: &Path) -> Digest {
+        let mut feed = Feed::default();
+        feed.text(path.as_str()).text(self.kind());
+        match self {
+            Object::Team(t) => t.feed(&mut feed),
+            Object::Service(s) => s.feed(&mut feed),
+            Object::Target(t) => t.feed(&mut feed),
+            Object::Route(r) => r.feed(&mut feed),
+        }
+        feed.finish()
+    }
+}
+
+impl Team {
+    fn feed(&self, feed: &mut Feed) {
+        feed.text(&self.token_hash);
+    }
+}
+
+impl Service {
+    fn feed(&self, feed: &mut Feed) {
+        feed.number(self.shed_status.map_or(0, u64::from));
+        feed.text(self.health.as_deref().unwrap_or_default());
+    }
+}
+
+impl TargetSettings {
+    fn feed(&self, feed: &mut Feed) {
+        feed.text(self.service.as_str());
+        feed.number(self.slots.into());
+        feed.number(self.connections.into());
+        feed.number(self.ramp.as_millis() as u64);
+        feed.number(self.drained.into());
+    }
+}
+
+impl Route {
+    fn feed(&self, feed: &mut Feed) {
+        feed.text(self.host.as_deref().unwrap_or_default());
+        feed.text(&self.prefix);
+        feed.number(self.methods.len() as u64);
+        for m in &self.methods {
+            feed.text(m);
+        }
+        feed.text(self.service.as_str());
+        feed.number(self.class as u64);
+        feed.number(self.deadline.as_millis() as u64);
+        feed.number(self.attempts.into());
+        feed.number(self.idempotency as u64);
+        feed.number(self.keyed.into());
+    }
+}
--- /dev/null
+++ b/src/state/routing.rs
@@ -0,0 +1,223 @@
+//! The routing table: one configuration snapshot joined with one view of the targets.
+//!
+//! A table is immutable and swapped as one pointer, so every request sees one consistent pair.
+//! A route in the table always names a service that the table holds.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::id::{Incarnation, Path, Version};
+use super::member::{Health, MemberTable, Record};
+use super::object::{Object, Route, Service, TargetSettings};
+use super::snapshot::Snapshot;
+
+/// A target that a request can be sent to, through the gate of the node beside it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Peer address of the node beside the target.
+    pub peer: SocketAddr,
+    /// Address of the gate.
+    pub gate: SocketAddr,
+    /// Life of the node that the record speaks of.
+    pub incarnation: Incarnation,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// State as last heard.
+    pub health: Health,
+    /// Slots by settings, or by the target's own record where the settings name none.
+    pub slots: u32,
+    /// Time over which a cold target's share grows.
+    pub ramp: Duration,
+}
+
+/// A service with its candidates.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceEntry {
+    /// Settings of the service.
+    pub settings: Service,
+    /// Targets that may take work.
+    pub candidates: Vec<Candidate>,
+}
+
+/// A route with its path.
+#[derive(Clone, Debug)]
+pub struct RouteEntry {
+    /// Where the route lives in the settings.
+    pub path: Path,
+    /// The route.
+    pub route: Route,
+}
+
+type HostRoutes = HashMap<String, SmallVec<[Arc<RouteEntry>; 2]>>;
+
+/// The routes of one configuration version, indexed by host and prefix.
+#[derive(Debug, Default)]
+struct RouteIndex {
+    hosts: HashMap<String, HostRoutes>,
+    any: HostRoutes,
+    targets: HashMap<String, TargetSettings>,
+}
+
+/// Routes, services and targets that were joined together.
+#[derive(Clone, Debug, Default)]
+pub struct RoutingTable {
+    version: Version,
+    index: Arc<RouteIndex>,
+    services: HashMap<Path, Arc<ServiceEntry>>,
+}
+
+impl RoutingTable {
+    /// Joins a configuration with the known targets.
+    pub fn build(config: &Snapshot, members: &MemberTable) -> RoutingTable {
+        let mut index = RouteIndex::default();
+        let mut services = HashMap::new();
+        for e in config.entries() {
+            match &*e.object {
+                Object::Route(r) => index.add(&e.path, r),
+                Object::Target(t) => {
+                    index.targets.insert(e.path.name().to_string(), t.clone());
+                }
+                Object::Service(s) => {
+                    services.insert(e.path.clone(), s.clone());
+                }
+                Object::Team(_) => {}
+            }
+        }
+        let mut table = RoutingTable {
+            version: config.version(),
+            index: Arc::new(index),
+            services: HashMap::new(),
+        };
+        for (path, settings) in services {
+            let entry = table.join(&path, settings, members);
+            table.services.insert(path, Arc::new(entry));
+        }
+        table
+    }
+
+    /// The same configuration with some services' targets joined anew.
+    pub fn refresh<'a>(
+        &self,
+        members: &MemberTable,
+        changed: impl IntoIterator<Item = &'a Path>,
+    ) -> RoutingTable {
+        let mut next = self.clone();
+        for path in changed {
+            if let Some(held) = self.services.get(path) {
+                let entry = self.join(path, held.settings.clone(), members);
+                next.services.insert(path.clone(), Arc::new(entry));
+            }
+        }
+        next
+    }
+
+    /// The configuration version that the table was built from.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Finds the route for a request: the request's host before any host, the longest prefix
+    /// before shorter ones, a named method before any method.
+    pub fn route(&self, host: &str, path: &str, method: &str) -> Option<&Arc<RouteEntry>> {
+        let host = host.split(':').next().unwrap_or_default();
+        let lower;
+        let host = if host.bytes().any(|b| b.is_ascii_uppercase()) {
+            lower = host.to_ascii_lowercase();
+            &lower
+        } else {
+            host
+        };
+        let named = self.index.hosts.get(host);
+        named
+            .and_then(|routes| longest(routes, path, method))
+            .or_else(|| longest(&self.index.any, path, method))
+    }
+
+    /// The service of a path, with its candidates.
+    pub fn service(&self, path: &Path) -> Option<&Arc<ServiceEntry>> {
+        self.services.get(path)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = (&Path, &Arc<ServiceEntry>)> {
+        self.services.iter()
+    }
+
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteEntry>> {
+        let named = self.index.hosts.values().chain([&self.index.any]);
+        named.flat_map(|h| h.values().flatten())
+    }
+
+    /// Settings of a target instance, by its name.
+    pub fn target(&self, instance: &str) -> Option<&TargetSettings> {
+        self.index.targets.get(instance)
+    }
+
+    fn join(&self, path: &Path, settings: Service, members: &MemberTable) -> ServiceEntry {
+        let works = |r: &&Arc<Record>| r.health.takes_work();
+        let candidates = members
+            .service(path)
+            .filter(works)
+            .filter_map(|r| self.candidate(r))
+            .collect();
+        ServiceEntry {
+            settings,
+            candidates,
+        }
+    }
+
+    fn candidate(&self, record: &Record) -> Option<Candidate> {
+        let beside = record.target.as_ref()?;
+        let settings = self.target(&beside.instance);
+        if settings.is_some_and(|t| t.drained) {
+            return None;
+        }
+        Some(Candidate {
+            peer: record.peer,
+            gate: record.gate_addr(),
+            incarnation: record.incarnation,
+            zone: record.zone.clone(),
+            health: record.health,
+            slots: settings.map_or(beside.slots, |t| t.slots),
+            ramp: settings.map_or(Duration::ZERO, |t| t.ramp),
+        })
+    }
+}
+
+impl RouteIndex {
+    fn add(&mut self, path: &Path, route: &Route) {
+        let entry = Arc::new(RouteEntry {
+            path: path.clone(),
+            route: route.clone(),
+        });
+        let routes = match &route.host {
+            Some(h) => self.hosts.entry(h.clone()).or_default(),
+            None => &mut self.any,
+        };
+        let prefix = route.prefix.trim_end_matches('/').to_string();
+        routes.entry(prefix).or_default().push(entry);
+    }
+}
+
+fn longest<'a>(routes: &'a HostRoutes, path: &str, method: &str) -> Option<&'a Arc<RouteEntry>> {
+    let mut prefix = path.trim_end_matches('/');
+    loop {
+        let found = routes.get(prefix).and_then(|r| by_method(r, method));
+        if found.is_some() || prefix.is_empty() {
+            return found;
+        }
+        prefix = &prefix[..prefix.rfind('/').unwrap_or(0)];
+    }
+}
+
+fn by_method<'a>(routes: &'a [Arc<RouteEntry>], method: &str) -> Option<&'a Arc<RouteEntry>> {
+    let named = |r: &&Arc<RouteEntry>| r.route.methods.iter().any(|m| m == method);
+    let open = |r: &&Arc<RouteEntry>| r.route.methods.is_empty();
+    let found = routes.iter().find(named);
+    found.or_else(|| routes.iter().find(open))
+}
--- /dev/null
+++ b/src/state/settings.rs
@@ -0,0 +1,435 @@
+//! Operators' settings files: YAML documents, one object each, checked into [`Object`]s.
+//!
+//! Every problem carries the file, the line, the path and a remedy. A file with any problem
+//! yields no objects.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Deserializer, de};
+
+use super::id::Path;
+use super::object::{Class, Idempotency, Object, Route, Service, TargetSettings, Team};
+use super::snapshot::{Edit, Entry};
+use super::units::{parse_duration, show_duration};
+
+/// Most slots a target may be given.
+pub const SLOTS_MAX: u32 = 4096;
+/// Most connections a target may be given.
+pub const CONNECTIONS_MAX: u32 = 65_536;
+/// Most attempts a route may allow.
+pub const ATTEMPTS_MAX: u8 = 10;
+/// Longest deadline a route may set.
+pub const DEADLINE_MAX: Duration = Duration::from_secs(3600);
+/// Longest ramp a target may be given.
+pub const RAMP_MAX: Duration = Duration::from_secs(600);
+
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(10);
+const RAMP_DEFAULT: Duration = Duration::from_secs(10);
+const ATTEMPTS_DEFAULT: u8 = 3;
+
+/// One thing wrong with a settings file.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{file}:{line}: {path}: {message}")]
+pub struct Problem {
+    /// File name as given.
+    pub file: String,
+    /// Line in the file, from 1.
+    pub line: usize,
+    /// Path of the object, or `-` where none was read.
+    pub path: String,
+    /// What is wrong and what to do about it.
+    pub message: String,
+}
+
+/// An object with the line its document starts on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Located {
+    /// Line of the document's first field, from 1.
+    pub line: usize,
+    /// The object and its path.
+    pub entry: Entry,
+}
+
+/// Reads a settings file.
+///
+/// # Errors
+/// Every problem found, in file order.
+///
+/// ```
+/// use tarragoncourse::state::settings::parse;
+/// let text = "kind: service\npath: guild/services/cutbook\n";
+/// assert_eq!(parse("a.yaml", text).unwrap().len(), 1);
+/// let problems = parse("a.yaml", "kind: service\npath: guild/x\ncolour: red\n").unwrap_err();
+/// assert!(problems[0].to_string().starts_with("a.yaml:3: guild/x: unknown field `colour`"));
+/// ```
+pub fn parse(file: &str, text: &str) -> Result<Vec<Located>, Vec<Problem>> {
+    let mut objects: Vec<Located> = Vec::new();
+    let mut problems = Vec::new();
+    let mut lines = BTreeMap::new();
+    for (line, doc) in documents(text) {
+        match document(file, line, &doc) {
+            Err(p) => problems.push(p),
+            Ok(found) => match lines.insert(found.entry.path.clone(), line) {
+                Some(first) => problems.push(duplicate(file, &found, first)),
+                None => objects.push(found),
+            },
+        }
+    }
+    if problems.is_empty() {
+        return Ok(objects);
+    }
+    Err(problems)
+}
+
+/// The edits that put every object of a file.
+pub fn edits(objects: &[Located]) -> Vec<Edit> {
+    let put = |o: &Located| Edit::Put(o.entry.path.clone(), o.entry.object.clone());
+    objects.iter().map(put).collect()
+}
+
+/// Writes an object as a YAML document that [`parse`] reads back.
+///
+/// ```
+/// use tarragoncourse::state::settings::{parse, show};
+/// let text = "kind: service\npath: guild/services/cutbook\nhealth: /up\n";
+/// let found = parse("a.yaml", text).unwrap();
+/// assert_eq!(show(&found[0].entry), text);
+/// ```
+pub fn show(entry: &Entry) -> String {
+    let mut out = format!("kind: {}\npath: {}\n", entry.object.kind(), entry.path);
+    let mut line = |name: &str, value: String| out.push_str(&format!("{name}: {value}\n"));
+    match &*entry.object {
+        Object::Team(t) => line("token-hash", quoted(&t.token_hash)),
+        Object::Service(s) => {
+            s.shed_status
+                .iter()
+                .for_each(|c| line("shed-status", c.to_string()));
+            s.health.iter().for_each(|h| line("health", h.clone()));
+        }
+        Object::Target(t) => {
+            line("service", t.service.to_string());
+            line("slots", t.slots.to_string());
+            line("connections", t.connections.to_string());
+            line("ramp", show_duration(t.ramp));
+            line("drained", t.drained.to_string());
+        }
+        Object::Route(r) => show_route(r, line),
+    }
+    out
+}
+
+fn show_route(r: &Route, mut line: impl FnMut(&str, String)) {
+    r.host.iter().for_each(|h| line("host", h.clone()));
+    line("prefix", r.prefix.clone());
+    line("methods", format!("[{}]", r.methods.join(", ")));
+    line("service", r.service.to_string());
+    line("class", r.class.to_string());
+    line("deadline", show_duration(r.deadline));
+    line("attempts", r.attempts.to_string());
+    line("idempotent", r.idempotency.to_string());
+    line("keyed", r.keyed.to_string());
+}
+
+fn quoted(text: &str) -> String {
+    format!("\"{text}\"")
+}
+
+fn documents(text: &str) -> Vec<(usize, String)> {
+    let mut docs = vec![(1, String::new())];
+    for (at, line) in text.lines().enumerate() {
+        if line.trim_end() == "---" {
+            docs.push((at + 2, String::new()));
+            continue;
+        }
+        let (_, doc) = docs.last_mut().expect("starts with one document");
+        doc.push_str(line);
+        doc.push('\n');
+    }
+    docs.retain(|(_, doc)| doc.lines().any(|l| !is_blank(l)));
+    docs
+}
+
+fn is_blank(line: &str) -> bool {
+    line.trim().is_empty() || line.trim_start().starts_with('#')
+}
+
+fn duplicate(file: &str, found: &Located, first: usize) -> Problem {
+    Problem {
+        file: file.to_string(),
+        line: found.line,
+        path: found.entry.path.to_string(),
+        message: format!("this path is already set on line {first}; remove or rename one"),
+    }
+}
+
+#[derive(Deserialize)]
+struct Head {
+    kind: Option<String>,
+    path: Option<String>,
+}
+
+fn document(file: &str, start: usize, doc: &str) -> Result<Located, Problem> {
+    let blank = doc.lines().take_while(|l| is_blank(l)).count();
+    let problem = |line: usize, path: &str, message: String| Problem {
+        file: file.to_string(),
+        line: start + line,
+        path: path.to_string(),
+        message,
+    };
+    let head: Head = serde_yaml_ng::from_str(doc)
+        .map_err(|e| problem(line_of(&e, blank), "-", message_of(&e)))?;
+    let shown = head.path.clone().unwrap_or_else(|| "-".to_string());
+    let object = read_object(head.kind.as_deref(), doc)
+        .map_err(|e| problem(line_of(&e, blank), &shown, message_of(&e)))?;
+    let path = Path::new(&shown).map_err(|e| problem(blank, &shown, e.to_string()))?;
+    let object = std::sync::Arc::new(object);
+    Ok(Located {
+        line: start + blank,
+        entry: Entry { path, object },
+    })
+}
+
+fn read_object(kind: Option<&str>, doc: &str) -> Result<Object, serde_yaml_ng::Error> {
+    match kind {
+        Some("team") => read::<RawTeam, Team>(doc).map(Object::Team),
+        Some("service") => read::<RawService, Service>(doc).map(Object::Service),
+        Some("target") => read::<RawTarget, TargetSettings>(doc).map(Object::Target),
+        Some("route") => read::<RawRoute, Route>(doc).map(Object::Route),
+        Some(other) => Err(de::Error::custom(format!(
+            "kind `{other}` is not known; use team, service, target or route"
+        ))),
+        None => Err(de::Error::custom("missing field `kind`; add `kind:`")),
+    }
+}
+
+fn read<R, T>(doc: &str) -> Result<T, serde_yaml_ng::Error>
+where
+    R: de::DeserializeOwned,
+    T: TryFrom<R, Error = String>,
+{
+    let raw: R = serde_yaml_ng::from_str(doc)?;
+    T::try_from(raw).map_err(de::Error::custom)
+}
+
+fn line_of(e: &serde_yaml_ng::Error, otherwise: usize) -> usize {
+    e.location().map_or(otherwise, |l| l.line() - 1)
+}
+
+/// The message without the position, which counts from the document and not from the file.
+fn message_of(e: &serde_yaml_ng::Error) -> String {
+    let text = e.to_string();
+    let cut = text.rfind(" at line ").unwrap_or(text.len());
+    let text = &text[..cut];
+    if text.contains("unknown field") {
+        return format!("{text}; remove the field or correct its name");
+    }
+    if text.contains("missing field") && !text.contains(';') {
+        return format!("{text}; add it");
+    }
+    text.to_string()
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct RawTeam {
+    #[serde(rename = "kind")]
+    _kind: String,
+    #[serde(rename = "path")]
+    _path: String,
+    token_hash: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct RawService {
+    #[serde(rename = "kind")]
+    _kind: String,
+    #[serde(rename = "path")]
+    _path: String,
+    shed_status: Option<u16>,
+    health: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct RawTarget {
+    #[serde(rename = "kind")]
+    _kind: String,
+    #[serde(rename = "path")]
+    _path: String,
+    service: String,
+    slots: u32,
+    connections: Option<u32>,
+    #[serde(default, deserialize_with = "duration")]
+    ramp: Option<Duration>,
+    #[serde(default)]
+    drained: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct RawRoute {
+    #[serde(rename = "kind")]
+    _kind: String,
+    #[serde(rename = "path")]
+    _path: String,
+    host: Option<String>,
+    prefix: String,
+    #[serde(default)]
+    methods: Vec<String>,
+    service: String,
+    class: Option<String>,
+    #[serde(default, deserialize_with = "duration")]
+    deadline: Option<Duration>,
+    attempts: Option<u8>,
+    idempotent: Option<String>,
+    #[serde(default)]
+    keyed: bool,
+}
+
+fn duration<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Duration>, D::Error> {
+    let text = String::deserialize(d)?;
+    parse_duration(&text).map(Some).map_err(de::Error::custom)
+}
+
+impl TryFrom<RawTeam> for Team {
+    type Error = String;
+
+    fn try_from(raw: RawTeam) -> Result<Team, String> {
+        let well_formed = raw
+            .token_hash
+            .split_once(':')
+            .is_some_and(|(salt, hash)| salt.len() == 32 && hash.len() == 64);
+        if !well_formed {
+            return Err("token-hash is malformed; make one with `tarragon token`".to_string());
+        }
+        Ok(Team {
+            token_hash: raw.token_hash,
+        })
+    }
+}
+
+impl TryFrom<RawService> for Service {
+    type Error = String;
+
+    fn try_from(raw: RawService) -> Result<Service, String> {
+        if let Some(code) = raw.shed_status.filter(|c| !(400..=599).contains(c)) {
+            return Err(format!(
+                "shed-status {code} is not an error; use 400 to 599"
+            ));
+        }
+        if let Some(page) = raw.health.iter().find(|h| !h.starts_with('/')) {
+            return Err(format!("health `{page}` must start with `/`; add it"));
+        }
+        Ok(Service {
+            shed_status: raw.shed_status,
+            health: raw.health,
+        })
+    }
+}
+
+impl TryFrom<RawTarget> for TargetSettings {
+    type Error = String;
+
+    fn try_from(raw: RawTarget) -> Result<TargetSettings, String> {
+        let connections = raw.connections.unwrap_or(raw.slots.saturating_mul(2));
+        let ramp = raw.ramp.unwrap_or(RAMP_DEFAULT);
+        within("slots", raw.slots, 1, SLOTS_MAX)?;
+        within("connections", connections, raw.slots, CONNECTIONS_MAX)?;
+        at_most("ramp", ramp, RAMP_MAX)?;
+        Ok(TargetSettings {
+            service: Path::new(&raw.service).map_err(|e| e.to_string())?,
+            slots: raw.slots,
+            connections,
+            ramp,
+            drained: raw.drained,
+        })
+    }
+}
+
+impl TryFrom<RawRoute> for Route {
+    type Error = String;
+
+    fn try_from(raw: RawRoute) -> Result<Route, String> {
+        let deadline = raw.deadline.unwrap_or(DEADLINE_DEFAULT);
+        let attempts = raw.attempts.unwrap_or(ATTEMPTS_DEFAULT);
+        if !raw.prefix.starts_with('/') {
+            return Err(format!(
+                "prefix `{}` must start with `/`; add it",
+                raw.prefix
+            ));
+        }
+        if deadline.is_zero() {
+            return Err("deadline is zero; write a positive duration such as `2s`".to_string());
+        }
+        at_most("deadline", deadline, DEADLINE_MAX)?;
+        within("attempts", attempts, 1, ATTEMPTS_MAX)?;
+        Ok(Route {
+            host: raw.host.map(|h| h.to_ascii_lowercase()),
+            prefix: raw.prefix,
+            methods: raw
+                .methods
+                .into_iter()
+                .map(method)
+                .collect::<Result<_, _>>()?,
+            service: Path::new(&raw.service).map_err(|e| e.to_string())?,
+            class: raw.class.as_deref().map_or(Ok(Class::default()), class)?,
+            deadline,
+            attempts,
+            idempotency: raw
+                .idempotent
+                .as_deref()
+                .map_or(Ok(Idempotency::ByMethod), idempotency)?,
+            keyed: raw.keyed,
+        })
+    }
+}
+
+fn method(text: String) -> Result<String, String> {
+    let valid = !text.is_empty() && text.bytes().all(|b| b.is_ascii_uppercase());
+    if valid {
+        return Ok(text);
+    }
+    Err(format!(
+        "method `{text}` must be upper-case letters, such as `POST`"
+    ))
+}
+
+fn class(text: &str) -> Result<Class, String> {
+    let known = "use lookup, order, interactive or bulk";
+    Class::parse(text).ok_or_else(|| format!("class `{text}` is not known; {known}"))
+}
+
+fn idempotency(text: &str) -> Result<Idempotency, String> {
+    let all = [
+        Idempotency::ByMethod,
+        Idempotency::Always,
+        Idempotency::Never,
+    ];
+    let known = "use by-method, always or never";
+    all.into_iter()
+        .find(|i| i.to_string() == text)
+        .ok_or_else(|| format!("idempotent `{text}` is not known; {known}"))
+}
+
+fn within<N: PartialOrd + std::fmt::Display>(
+    name: &str,
+    n: N,
+    low: N,
+    high: N,
+) -> Result<(), String> {
+    if n < low || n > high {
+        return Err(format!("{name} {n} is out of bounds; use {low} to {high}"));
+    }
+    Ok(())
+}
+
+fn at_most(name: &str, d: Duration, most: Duration) -> Result<(), String> {
+    if d > most {
+        let (d, most) = (show_duration(d), show_duration(most));
+        return Err(format!("{name} {d} is too long; use at most {most}"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/state/units.rs
@@ -0,0 +1,98 @@
+//! Durations and sizes as operators write them: a number and a unit, such as `250ms` or `4KiB`.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+
+/// Why a quantity was not understood.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum UnitError {
+    /// No unit, or one that is not known for this kind of quantity.
+    #[display("`{text}` needs a unit; write a whole number with one of {units}")]
+    Unit {
+        /// What was written.
+        text: String,
+        /// The units that are allowed.
+        units: &'static str,
+    },
+    /// The number does not fit.
+    #[display("`{text}` is too large; write a smaller number")]
+    Range {
+        /// What was written.
+        text: String,
+    },
+}
+
+const DURATION_UNITS: &str = "ms, s, m, h";
+const SIZE_UNITS: &str = "B, KiB, MiB";
+
+/// Parses a duration such as `250ms`, `2s`, `5m` or `1h`.
+///
+/// ```
+/// use std::time::Duration;
+/// use tarragoncourse::state::units::parse_duration;
+/// assert_eq!(parse_duration("250ms"), Ok(Duration::from_millis(250)));
+/// assert!(parse_duration("250").is_err());
+/// ```
+pub fn parse_duration(text: &str) -> Result<Duration, UnitError> {
+    let scale = |unit: &str| match unit {
+        "ms" => Some(1),
+        "s" => Some(1_000),
+        "m" => Some(60_000),
+        "h" => Some(3_600_000),
+        _ => None,
+    };
+    quantity(text, DURATION_UNITS, scale).map(Duration::from_millis)
+}
+
+/// Parses a size such as `512B`, `4KiB` or `16MiB` into bytes.
+///
+/// ```
+/// use tarragoncourse::state::units::parse_size;
+/// assert_eq!(parse_size("4KiB"), Ok(4096));
+/// assert!(parse_size("4kb").is_err());
+/// ```
+pub fn parse_size(text: &str) -> Result<u64, UnitError> {
+    let scale = |unit: &str| match unit {
+        "B" => Some(1),
+        "KiB" => Some(1 << 10),
+        "MiB" => Some(1 << 20),
+        _ => None,
+    };
+    quantity(text, SIZE_UNITS, scale)
+}
+
+/// Writes a duration in the largest unit that divides it.
+///
+/// ```
+/// use std::time::Duration;
+/// use tarragoncourse::state::units::show_duration;
+/// assert_eq!(show_duration(Duration::from_millis(1500)), "1500ms");
+/// assert_eq!(show_duration(Duration::from_secs(120)), "2m");
+/// ```
+pub fn show_duration(d: Duration) -> String {
+    let ms = d.as_millis() as u64;
+    for (unit, scale) in [("h", 3_600_000), ("m", 60_000), ("s", 1_000)] {
+        if ms > 0 && ms.is_multiple_of(scale) {
+            return format!("{}{unit}", ms / scale);
+        }
+    }
+    format!("{ms}ms")
+}
+
+fn quantity(
+    text: &str,
+    units: &'static str,
+    scale: impl Fn(&str) -> Option<u64>,
+) -> Result<u64, UnitError> {
+    let split = text.bytes().take_while(u8::is_ascii_digit).count();
+    let (digits, unit) = text.split_at(split);
+    let text = text.to_string();
+    let Some(factor) = scale(unit).filter(|_| split > 0) else {
+        return Err(UnitError::Unit { text, units });
+    };
+    let number: Option<u64> = digits.parse().ok();
+    number
+        .and_then(|n| n.checked_mul(factor))
+        .ok_or(UnitError::Range { text })
+}
--- /dev/null
+++ b/src/state/validate.rs
@@ -0,0 +1,155 @@
+//! Checks on a whole configuration, made before it is accepted.
+
+use std::collections::BTreeMap;
+
+use derive_more::{Display, Error};
+
+use super::id::Path;
+use super::object::{Object, Route};
+use super::snapshot::{Edit, Snapshot};
+
+/// Why a configuration is not acceptable.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Invalid {
+    /// A route or target names a service that does not exist.
+    #[display(
+        "{path}: service `{service}` does not exist; add it in this change or correct the name"
+    )]
+    MissingService {
+        /// The object that refers to the service.
+        path: Path,
+        /// The missing service.
+        service: Path,
+    },
+    /// The path's first segment is not a team.
+    #[display("{path}: team `{team}` does not exist; add a team at path `{team}` first")]
+    MissingTeam {
+        /// The object without an owner.
+        path: Path,
+        /// The missing team.
+        team: String,
+    },
+    /// Two routes match the same requests.
+    #[display("{path}: matches the same host, prefix and method as `{other}`; change one of them")]
+    AmbiguousRoute {
+        /// The later route.
+        path: Path,
+        /// The earlier route.
+        other: Path,
+    },
+    /// A team's object is not at a one-segment path, or another kind is.
+    #[display(
+        "{path}: one-segment paths are for teams, and teams only live there; move the object"
+    )]
+    TeamPath {
+        /// The misplaced object.
+        path: Path,
+    },
+    /// The author does not own the path.
+    #[display("{path}: team `{author}` does not own this path; ask team `{owner}` to change it")]
+    NotOwner {
+        /// The path that the change touches.
+        path: Path,
+        /// Who wrote the change.
+        author: String,
+        /// Who owns the path.
+        owner: String,
+    },
+}
+
+impl Invalid {
+    /// The path that the problem concerns.
+    pub fn path(&self) -> &Path {
+        match self {
+            Invalid::MissingService { path, .. }
+            | Invalid::MissingTeam { path, .. }
+            | Invalid::AmbiguousRoute { path, .. }
+            | Invalid::TeamPath { path }
+            | Invalid::NotOwner { path, .. } => path,
+        }
+    }
+}
+
+/// The author name that may touch every path.
+pub const ADMIN: &str = "admin";
+
+/// Checks that the author owns every path of a change. The result lists every violation.
+pub fn check_owner(author: &str, edits: &[Edit]) -> Vec<Invalid> {
+    if author == ADMIN {
+        return Vec::new();
+    }
+    let foreign = |path: &&Path| path.team() != author || path.as_str() == path.team();
+    let paths = edits.iter().map(Edit::path).filter(foreign);
+    paths
+        .map(|path| Invalid::NotOwner {
+            path: path.clone(),
+            author: author.to_string(),
+            owner: path.team().to_string(),
+        })
+        .collect()
+}
+
+/// Checks a whole configuration. An empty result means that it may be accepted.
+///
+/// ```
+/// use tarragoncourse::state::{snapshot::Snapshot, validate::check_whole};
+/// assert!(check_whole(&Snapshot::default()).is_empty());
+/// ```
+pub fn check_whole(config: &Snapshot) -> Vec<Invalid> {
+    let mut found = Vec::new();
+    let mut seen = BTreeMap::new();
+    let mut entries: Vec<_> = config.entries().collect();
+    entries.sort_by(|a, b| a.path.cmp(&b.path));
+    for e in entries {
+        found.extend(check_place(config, &e.path, &e.object));
+        found.extend(check_service(config, &e.path, &e.object));
+        if let Object::Route(r) = &*e.object {
+            found.extend(check_route(&mut seen, &e.path, r));
+        }
+    }
+    found
+}
+
+fn check_place(config: &Snapshot, path: &Path, object: &Object) -> Option<Invalid> {
+    let single = path.as_str() == path.team();
+    if single != matches!(object, Object::Team(_)) {
+        return Some(Invalid::TeamPath { path: path.clone() });
+    }
+    let team = Path::new(path.team()).ok()?;
+    let owned = matches!(config.get(&team).map(|o| &**o), Some(Object::Team(_)));
+    (!owned).then(|| Invalid::MissingTeam {
+        path: path.clone(),
+        team: path.team().to_string(),
+    })
+}
+
+fn check_service(config: &Snapshot, path: &Path, object: &Object) -> Option<Invalid> {
+    let service = object.service()?;
+    let known = matches!(config.get(service).map(|o| &**o), Some(Object::Service(_)));
+    (!known).then(|| Invalid::MissingService {
+        path: path.clone(),
+        service: service.clone(),
+    })
+}
+
+type Seen = BTreeMap<(Option<String>, String, String), Path>;
+
+fn check_route(seen: &mut Seen, path: &Path, route: &Route) -> Option<Invalid> {
+    let any = [String::new()];
+    let methods = if route.methods.is_empty() {
+        &any[..]
+    } else {
+        &route.methods[..]
+    };
+    let mut clash = None;
+    for m in methods {
+        let key = (route.host.clone(), route.prefix.clone(), m.clone());
+        if let Some(other) = seen.insert(key, path.clone()) {
+            clash = Some(Invalid::AmbiguousRoute {
+                path: path.clone(),
+                other,
+            });
+        }
+    }
+    clash
+}
--- /dev/null
+++ b/src/transport/client.rs
@@ -0,0 +1,83 @@
+//! The pooled HTTP client for the next hop, with what its errors prove.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gotham::helpers::http::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response, Uri};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// Time within which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time for which an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Most unused connections kept to one address.
+const IDLE_MAX: usize = 64;
+
+/// Why no answer came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendError {
+    /// No connection was made, so no byte of the request was written.
+    NotSent,
+    /// The connection broke after it was made; bytes may have been written.
+    Broken,
+}
+
+/// A pooled HTTP/1.1 client.
+#[derive(Clone, Debug)]
+pub struct HttpClient(Client<HttpConnector, Body>);
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        // The pool itself sends a request again when a kept connection proves closed before the
+        // request was written to it: it then still holds the request whole.
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(IDLE_MAX)
+            .build(connector);
+        HttpClient(client)
+    }
+}
+
+impl HttpClient {
+    /// Sends a request to an address, keeping the request's path and query.
+    ///
+    /// # Errors
+    /// [`SendError`] tells whether the request may have been written.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        mut request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        let path = request.uri().path_and_query().cloned();
+        let uri = Uri::builder().scheme("http").authority(to.to_string());
+        let path = path.unwrap_or_else(|| http::uri::PathAndQuery::from_static("/"));
+        *request.uri_mut() = uri
+            .path_and_query(path)
+            .build()
+            .map_err(|_| SendError::NotSent)?;
+        let response = self.0.request(request).await.map_err(classify)?;
+        Ok(response.map(streamed))
+    }
+}
+
+fn classify(e: Error) -> SendError {
+    if e.is_connect() {
+        SendError::NotSent
+    } else {
+        SendError::Broken
+    }
+}
+
+fn streamed(body: Incoming) -> Body {
+    Body::new(body.map_err(io::Error::other))
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,7 @@
+//! Sockets: HTTP in and out, peer connections, and the platform's client. No decisions.
+
+pub mod client;
+pub mod http;
+pub mod kv;
+pub mod link;
+pub mod platform;
