--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,279 @@
+//! Helpers of the integration tests: a working directory with real processes, ended by id.
+
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+pub const ADMIN_TOKEN: &str = "admin-demo-token";
+pub const ADMIN_HASH: &str = "30cbb07181cbb4c53ef8db4bba1c0e95:57313ca91d67df58598baf2d09f61ef79aba68e9038efb20493623b8f8ba2f99";
+
+/// Longest wait for anything that a test waits for.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A process that ends when dropped.
+pub struct Process {
+    pub child: Child,
+    pub line: String,
+}
+
+impl Process {
+    fn start(mut command: Command) -> Process {
+        let mut child = command
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the binary starts");
+        let stdout = child.stdout.take().expect("piped");
+        let mut line = String::new();
+        let read = BufReader::new(stdout).read_line(&mut line);
+        read.expect("the process tells where it listens");
+        Process { child, line }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([name, &pid]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends SIGTERM and waits for the exit code.
+    pub fn terminate(&mut self) -> i32 {
+        self.signal("-TERM");
+        self.child.wait().expect("ends").code().unwrap_or(-1)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+pub struct NodeProcess {
+    pub process: Process,
+    pub peers: SocketAddr,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+/// A directory of its own with helpers to run the binaries in it.
+pub struct Workdir {
+    pub dir: PathBuf,
+    pub platform: Option<SocketAddr>,
+}
+
+impl Workdir {
+    pub fn new(name: &str) -> Workdir {
+        let unique = format!("tarragon-{name}-{}", std::process::id());
+        let dir = std::env::temp_dir().join(unique);
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(&dir).expect("a directory");
+        Workdir {
+            dir,
+            platform: None,
+        }
+    }
+
+    pub fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.dir.join(name), text).expect("a file");
+    }
+
+    pub fn platform(&mut self) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tarragon-standin"));
+        command.arg("platform");
+        let process = Process::start(command);
+        self.platform = Some(address(&process.line, "listening "));
+        process
+    }
+
+    pub fn target(&self, behaviour: &str) -> (Process, SocketAddr) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tarragon-standin"));
+        command.args(["target", "--behaviour", behaviour]);
+        let process = Process::start(command);
+        let at = address(&process.line, "listening ");
+        (process, at)
+    }
+
+    pub fn node(
+        &self,
+        instance: &str,
+        zone: &str,
+        target: Option<(&str, SocketAddr)>,
+    ) -> NodeProcess {
+        self.node_with(instance, zone, target, "")
+    }
+
+    pub fn node_with(
+        &self,
+        instance: &str,
+        zone: &str,
+        target: Option<(&str, SocketAddr)>,
+        extra: &str,
+    ) -> NodeProcess {
+        let platform = self.platform.expect("a platform runs");
+        let any = "127.0.0.1:0";
+        let mut text = format!(
+            "instance: {instance}\nzone: {zone}\nlisten: {{ peers: \"{any}\", gate: \"{any}\", \
+             callers: \"{any}\", admin: \"{any}\" }}\nplatform: \"{platform}\"\n\
+             fleet-key: test-fleet-key-0123456789\nadmin-token-hash: \"{ADMIN_HASH}\"\n{extra}"
+        );
+        if let Some((service, address)) = target {
+            text +=
+                &format!("target: {{ address: \"{address}\", service: {service}, slots: 12 }}\n");
+        }
+        let file = format!("{instance}.yaml");
+        self.write(&file, &text);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tarragond"));
+        command.arg("--config").arg(self.dir.join(&file));
+        let process = Process::start(command);
+        NodeProcess {
+            peers: address(&process.line, "peers="),
+            callers: address(&process.line, "callers="),
+            admin: address(&process.line, "admin="),
+            process,
+        }
+    }
+
+    /// Waits until every node is ready and knows every other.
+    pub fn until_joined(&self, nodes: &[&NodeProcess]) {
+        until("nodes are joined", || {
+            nodes.iter().all(|n| {
+                let ready = http(n.admin, "GET", "x", "/ready", &[], "");
+                let status = http(n.admin, "GET", "x", "/v1/status", &[], "");
+                let peers = status.map_or(0, |s| s.body.matches("\"peer\"").count());
+                ready.is_some_and(|r| r.status == 200) && peers == nodes.len()
+            })
+        });
+    }
+
+    /// Runs the command line against a node.
+    pub fn tarragon(&self, node: Option<&NodeProcess>, args: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tarragon"));
+        command.current_dir(&self.dir).args(args);
+        command.env("TARRAGON_TOKEN", ADMIN_TOKEN);
+        if let Some(node) = node {
+            command.env("TARRAGON_NODE", node.admin.to_string());
+        }
+        command.output().expect("the command line runs")
+    }
+
+    pub fn ok(&self, node: Option<&NodeProcess>, args: &[&str]) -> String {
+        let output = self.tarragon(node, args);
+        let (out, err) = (text(&output.stdout), text(&output.stderr));
+        assert!(output.status.success(), "{args:?}: {out}{err}");
+        out
+    }
+}
+
+impl Drop for Workdir {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+pub fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn address(line: &str, before: &str) -> SocketAddr {
+    let at = line
+        .find(before)
+        .unwrap_or_else(|| panic!("no {before} in {line:?}"));
+    let rest = &line[at + before.len()..];
+    let end = rest.find(char::is_whitespace).unwrap_or(rest.len());
+    rest[..end].parse().expect("an address")
+}
+
+/// Polls until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(
+            began.elapsed() < PATIENCE,
+            "not within {PATIENCE:?}: {what}"
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// An answer read as plainly as can be.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<String> {
+        let line = self.head.lines().find(|l| {
+            let (n, _) = l.split_once(':').unwrap_or((l, ""));
+            n.eq_ignore_ascii_case(name)
+        });
+        line.and_then(|l| l.split_once(':'))
+            .map(|(_, v)| v.trim().to_string())
+    }
+}
+
+/// Sends raw bytes and reads to the end of the connection.
+pub fn raw(to: SocketAddr, bytes: &[u8]) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(to)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.write_all(bytes)?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer)?;
+    Ok(text(&answer))
+}
+
+/// Sends one request and reads the answer.
+pub fn http(
+    to: SocketAddr,
+    method: &str,
+    host: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Answer> {
+    let mut request = format!("{method} {path} HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        request += &format!("{name}: {value}\r\n");
+    }
+    if !body.is_empty() {
+        request += &format!("content-length: {}\r\n", body.len());
+    }
+    let answer = raw(to, format!("{request}\r\n{body}").as_bytes()).ok()?;
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Answer {
+        status,
+        head: head.to_string(),
+        body: body.to_string(),
+    })
+}
+
+pub const SETTINGS: &str = "
+kind: team
+path: guild
+token-hash: \"30cbb07181cbb4c53ef8db4bba1c0e95:57313ca91d67df58598baf2d09f61ef79aba68e9038efb20493623b8f8ba2f99\"
+---
+kind: service
+path: guild/services/cutbook
+shed-status: 503
+---
+kind: route
+path: guild/routes/cutting
+host: guild.example
+prefix: /cutting
+service: guild/services/cutbook
+class: order
+deadline: 5s
+";
