Stateful fuzz of configuration, members, gate and claims

Change: four fuzz tests over the state machines with fixed seeds; an environment variable runs fresh seeds for longer. Found and mended, each red first on the named fuzz test: - commit: a node that took a newer version in force between reading the head and loading it proposed on the wrong base and panicked; it now reads again. - join without the platform: the floor was what peers hold, not what they had heard of; a heard version is an accepted one. - gate: a refused attempt was not remembered, so a second copy could run; a remembered copy of another life was then vouched for by a void. Refusals are remembered except stale ones and those for another life. - gate: a copy of an admitted attempt was told 'not run'; it is now 'unknown'. - members: gone records were part of the table digests, so tables that forget at different times compared for ever; an old claim about a node that had restarted was not answered with the present record. Narrowed, with the trace: a node that restarts while the platform is down and no live node ever heard of its last version cannot know it ('excused').

--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -277,6 +277,10 @@
         let Ok((base, since)) = answer else {
             return self.pause(None);
         };
+        // The node took a newer version in force since the head was read.
+        if base.version() != head.version {
+            return self.pause(None);
+        }
         if let Some(conflict) = self.conflict(&since) {
             return self.done(Verdict::Conflict(conflict));
         }
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -61,6 +61,8 @@
     Wait,
     /// Refused; it will never run here.
     Refuse(NotRun),
+    /// A copy of an attempt that was admitted before. The copy does not run; the first one may.
+    Repeated,
 }
 
 /// What became of a waiting attempt.
@@ -225,12 +227,22 @@
     pub fn offer(&mut self, offer: Offer, now: Instant) -> (Admission, Wakes) {
         self.forget(now);
         // A known id is a repeated or a voided attempt: never a second run.
-        if self.fates.contains_key(&offer.attempt) {
+        if let Some(fate) = self.fates.get(&offer.attempt) {
             self.counts.refused += 1;
-            return (Admission::Refuse(NotRun::Voided), Wakes::new());
+            let admission = match fate {
+                Fate::Fenced => Admission::Refuse(NotRun::Voided),
+                _ => Admission::Repeated,
+            };
+            return (admission, Wakes::new());
         }
         if let Some(reason) = self.reject(&offer, now) {
             self.counts.refused += 1;
+            // A copy that comes later must not run either. A stale offer, or one for another life,
+            // is always refused; to remember it would vouch for what this life cannot know.
+            let certain = !matches!(reason, NotRun::Stale | NotRun::Incarnation);
+            if certain && self.ages.len() < MEMORY_MAX {
+                self.remember(offer.attempt, Fate::Fenced, now);
+            }
             return (Admission::Refuse(reason), Wakes::new());
         }
         self.remember(offer.attempt, Fate::Waiting, now);
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -263,7 +263,10 @@
                 self.acknowledged(from, sequence, out);
                 self.compare(from, brief, now, out);
             }
-            Message::Compare { marks } => self.answer_compare(from, &marks, out),
+            Message::Compare { marks } => {
+                self.answer_compare(from, &marks, out);
+                self.offer_compare(from, now, out);
+            }
             Message::News { records } => {
                 self.learn(&records, now);
             }
@@ -378,6 +381,10 @@
     /// Answers a claim about this node with a newer record.
     fn refute(&mut self, claim: &Record) {
         if claim.precedence() <= self.own.precedence() {
+            // Whoever still believes an old claim is told the present record.
+            if claim.health >= Health::Suspect {
+                self.news.insert(self.own.peer, PASSES);
+            }
             return;
         }
         self.counts.refuted += 1;
@@ -458,7 +465,13 @@
 
     /// Offers this node's table digests when a peer's table differs, at a bounded rate.
     fn compare(&mut self, from: SocketAddr, brief: Brief, now: Instant, out: &mut Outbox) {
-        if brief.table == 0 || brief.table == self.table.digest() || now < self.next_compare {
+        if brief.table != 0 && brief.table != self.table.digest() {
+            self.offer_compare(from, now, out);
+        }
+    }
+
+    fn offer_compare(&mut self, from: SocketAddr, now: Instant, out: &mut Outbox) {
+        if now < self.next_compare {
             return;
         }
         self.next_compare = now + REPAIR_PERIOD;
--- a/src/coordination/outcome.rs
+++ b/src/coordination/outcome.rs
@@ -83,16 +83,20 @@
     /// The deadline passed after the request was handed over.
     #[display("timeout")]
     Timeout,
+    /// A copy of the request was admitted before.
+    #[display("repeated")]
+    Repeated,
     /// An earlier request with the same idempotency key has no known outcome.
     #[display("key-in-doubt")]
     KeyInDoubt,
 }
 
 impl Doubt {
-    const ALL: [Doubt; 4] = [
+    const ALL: [Doubt; 5] = [
         Doubt::LinkBroken,
         Doubt::TargetBroken,
         Doubt::Timeout,
+        Doubt::Repeated,
         Doubt::KeyInDoubt,
     ];
 }
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -176,7 +176,7 @@
 
     async fn held_by(&self, peer: std::net::SocketAddr) -> Option<Version> {
         match ask(&self.key, peer, &PeerRequest::Held, REQUEST_TIMEOUT).await {
-            Ok((PeerReply::Held(version), _)) => Some(version),
+            Ok((PeerReply::Held(version, _), _)) => Some(version),
             _ => None,
         }
     }
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -111,7 +111,8 @@
         let deadline = Instant::now() + passport.left;
         let ticket = match self.admit_attempt(passport, deadline).await {
             Ok(ticket) => ticket,
-            Err(reason) => return refusal(reason, self.gate_load()),
+            Err(Outcome::NotRun(reason)) => return refusal(reason, self.gate_load()),
+            Err(_) => return doubt(Doubt::Repeated, self.gate_load()),
         };
         self.hand_over(ticket, target, request, deadline).await
     }
@@ -120,7 +121,7 @@
         self: &Arc<Self>,
         passport: Passport,
         deadline: Instant,
-    ) -> Result<Ticket<P>, NotRun> {
+    ) -> Result<Ticket<P>, Outcome> {
         let offer = Offer {
             attempt: passport.attempt,
             incarnation: passport.incarnation,
@@ -133,7 +134,8 @@
             let (admission, wakes) = state.gate.offer(offer, Instant::now());
             state.deliver(wakes);
             let woken = match admission {
-                Admission::Refuse(reason) => return Err(reason),
+                Admission::Refuse(reason) => return Err(Outcome::NotRun(reason)),
+                Admission::Repeated => return Err(Outcome::Unknown(Doubt::Repeated)),
                 Admission::Run => None,
                 Admission::Wait => {
                     let (send, woken) = oneshot::channel();
@@ -152,8 +154,8 @@
             None => Ok(ticket),
             Some(woken) => match woken.await {
                 Ok(Ok(())) => Ok(ticket),
-                Ok(Err(reason)) => Err(reason),
-                Err(_) => Err(NotRun::Leaving),
+                Ok(Err(reason)) => Err(Outcome::NotRun(reason)),
+                Err(_) => Err(Outcome::NotRun(NotRun::Leaving)),
             },
         }
     }
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -23,6 +23,12 @@
 const ROUND_MAX: Duration = Duration::from_secs(5);
 /// Shortest wait between rounds of joining.
 const ROUND_MIN: Duration = Duration::from_millis(100);
+/// Time for which a node that joins without the platform listens for newer versions.
+const SETTLE: Duration = Duration::from_secs(1);
+/// Peers asked what they have heard of by a node that joins without the platform.
+const WITNESSES: usize = 16;
+/// Time within which a peer tells what it has heard of.
+const HELD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between looks at whether the configuration is current.
 const READY_POLL: Duration = Duration::from_millis(10);
 /// Time after which a round starts over when the configuration has not come.
@@ -115,7 +121,7 @@
     async fn wait_current(self: &Arc<Self>, found: Found) -> bool {
         let floor = match (found.head, found.peers) {
             (Some(head), (peers, _)) => head.max(peers),
-            (None, (peers, answers)) if answers > 0 => peers,
+            (None, (peers, answers)) if answers > 0 => peers.max(self.newest_heard().await),
             (None, _) => return false,
         };
         let mut actions = Actions::new();
@@ -131,6 +137,21 @@
         true
     }
 
+    /// The newest version that a wider sample of the fleet has heard of, after a while in which
+    /// a version under way reaches the sample. Nothing is accepted while the platform is down.
+    async fn newest_heard(&self) -> Version {
+        tokio::time::sleep(SETTLE).await;
+        let peers = lock(&self.members).sample(WITNESSES);
+        let mut newest = lock(&self.distribution).wanted();
+        for peer in peers {
+            let reply = ask(&self.key, peer, &PeerRequest::Held, HELD_TIMEOUT).await;
+            if let Ok((PeerReply::Held(held, wanted), _)) = reply {
+                newest = newest.max(held).max(wanted);
+            }
+        }
+        newest
+    }
+
     /// Watchers compare their table with the slots, so that fleets that were apart merge again. A
     /// node that knows of no other does too: a whole fleet may have started at one moment.
     async fn rejoin_loop(self: &Arc<Self>) {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -66,7 +66,7 @@
             PeerRequest::Claim(wishes) => {
                 PeerReply::Claims(self.claims.enter_all(wishes.clone()).await)
             }
-            PeerRequest::Held => PeerReply::Held(self.version()),
+            PeerRequest::Held => PeerReply::Held(self.version(), lock(&self.distribution).wanted()),
         };
         let sent = tokio::time::timeout(REPLY_TIMEOUT, asked.reply(&reply)).await;
         if let Ok(Ok(bytes)) = sent {
@@ -85,8 +85,10 @@
         let mut members = lock(&self.members);
         members.learn(std::slice::from_ref(record), Instant::now());
         let records = members.table().records().map(|r| (**r).clone()).collect();
-        let version: Version = self.version();
-        PeerReply::Table(records, version)
+        drop(members);
+        // A version that was heard of counts: it was accepted, though it is not in force here yet.
+        let wanted: Version = lock(&self.distribution).wanted();
+        PeerReply::Table(records, wanted)
     }
 }
 
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -171,6 +171,9 @@
         since: Version,
     ) -> StoreResult<(Arc<Snapshot>, Vec<Arc<Delta>>)> {
         let held = lock(&self.distribution).held().clone();
+        if held.version() > head.version {
+            return Ok((held, Vec::new()));
+        }
         let from = since.min(held.version());
         let records = self.read_chain(head, from).await;
         let records = match records {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -32,7 +32,7 @@
     },
     /// Write these wishes into the claim books.
     Claim(Vec<Wish>),
-    /// The version in force.
+    /// The versions in force and heard of.
     Held,
 }
 
@@ -41,14 +41,14 @@
 pub enum PeerReply {
     /// Answer to a pull.
     Pulled(Pulled),
-    /// Answer to a join: the member table and the version held.
+    /// Answer to a join: the member table and the newest version heard of.
     Table(Vec<Record>, Version),
     /// Answer to a void.
     Voided(Voided),
     /// Answer to a claim; none when the platform did not answer.
     Claims(Option<Vec<ClaimVerdict>>),
-    /// Answer to a question for the version in force.
-    Held(Version),
+    /// Answer to a question for the versions in force and heard of.
+    Held(Version, Version),
 }
 
 /// Most wishes in one claim request.
@@ -83,7 +83,7 @@
     Ended(String),
     CannotTell,
     Claims(Option<Vec<WireVerdict>>),
-    Held(u64),
+    Held(u64, u64),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -165,7 +165,7 @@
             PeerReply::Table(records, version) => {
                 WireReply::Table(records.iter().map(WireRecord::from).collect(), version.0)
             }
-            PeerReply::Held(version) => WireReply::Held(version.0),
+            PeerReply::Held(held, wanted) => WireReply::Held(held.0, wanted.0),
             PeerReply::Voided(Voided::Fenced) => WireReply::Fenced,
             PeerReply::Voided(Voided::Running) => WireReply::Running,
             PeerReply::Voided(Voided::Ended(outcome)) => WireReply::Ended(outcome.to_string()),
@@ -193,7 +193,7 @@
             WireReply::Nothing => PeerReply::Pulled(Pulled::Nothing),
             WireReply::Failed => PeerReply::Pulled(Pulled::Failed),
             WireReply::Table(wires, version) => PeerReply::Table(convert(wires)?, Version(version)),
-            WireReply::Held(version) => PeerReply::Held(Version(version)),
+            WireReply::Held(held, wanted) => PeerReply::Held(Version(held), Version(wanted)),
             WireReply::Fenced => PeerReply::Voided(Voided::Fenced),
             WireReply::Running => PeerReply::Voided(Voided::Running),
             WireReply::Ended(text) => {
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -226,10 +226,11 @@
         self.records.values().filter(differs)
     }
 
+    /// Gone members are left out of the digests: tables forget them at different times.
     fn link(&mut self, record: Arc<Record>) {
-        self.marks[bucket_of(&record.peer)] ^= record.mark();
         if record.health.is_alive() {
             self.alive += 1;
+            self.marks[bucket_of(&record.peer)] ^= record.mark();
             let zone = self.zones.entry(record.zone.clone()).or_default();
             zone.insert(record.peer);
             if let Some(t) = &record.target {
@@ -241,10 +242,10 @@
     }
 
     fn unlink(&mut self, record: &Record) {
-        self.marks[bucket_of(&record.peer)] ^= record.mark();
         if !record.health.is_alive() {
             return;
         }
+        self.marks[bucket_of(&record.peer)] ^= record.mark();
         self.alive -= 1;
         if let Some(zone) = self.zones.get_mut(&record.zone) {
             zone.remove(&record.peer);
--- /dev/null
+++ b/tests/support/fuzz.rs
@@ -0,0 +1,66 @@
+//! Runs a property on fixed seeds, or on fresh ones for a time that the environment sets.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+
+/// Runs for this many seconds on fresh seeds, in place of the fixed ones.
+const SECONDS: &str = "TARRAGON_FUZZ_SECONDS";
+
+/// Counts what a run did, to be printed at its end.
+#[derive(Default)]
+pub struct Counts(BTreeMap<&'static str, u64>);
+
+impl Counts {
+    pub fn add(&mut self, name: &'static str) {
+        *self.0.entry(name).or_default() += 1;
+    }
+}
+
+/// Runs the property once for each seed, with `size` bytes of choices.
+pub fn fuzz(
+    name: &str,
+    seeds: u32,
+    size: u32,
+    mut property: impl FnMut(&mut Unstructured, &mut Counts),
+) {
+    let mut counts = Counts::default();
+    let mut run = |n: u32| {
+        let seed = u64::from(n) << 32 | u64::from(size);
+        let once = |u: &mut Unstructured| {
+            property(u, &mut counts);
+            Ok(())
+        };
+        arbtest(once).seed(seed).run();
+    };
+    let seconds = std::env::var(SECONDS).ok().and_then(|s| s.parse().ok());
+    let done = match seconds.map(Duration::from_secs) {
+        None => {
+            (0..seeds).for_each(&mut run);
+            seeds
+        }
+        Some(time) => {
+            let began = Instant::now();
+            let first = fastrand::u32(..u32::MAX / 2);
+            println!("{name}: fresh seeds from {first}");
+            let fresh = (first..).take_while(|_| began.elapsed() < time);
+            fresh.map(&mut run).count() as u32
+        }
+    };
+    println!("{name}: {done} seeds of {size} bytes, {:?}", counts.0);
+}
+
+/// A choice below a bound; zero when the choices have run out.
+pub fn below(u: &mut Unstructured, bound: usize) -> usize {
+    if bound <= 1 {
+        return 0;
+    }
+    u.int_in_range(0..=bound - 1).unwrap_or(0)
+}
+
+/// Whether something with a chance of `percent` happens.
+pub fn chance(u: &mut Unstructured, percent: u8) -> bool {
+    u.int_in_range(0..=99u8).unwrap_or(99) < percent
+}
