Experiments, request tests under failure, and command-line tests

Change: tarragon experiment (convergence, latency, size, picking, baseline, churn, claims); tests of requests, outages, checks and apply with the real binaries. Found and mended: a caller whose upload broke off got 503 and its target was counted as failed, which could eject a healthy one; it is 400 now and says nothing about the target (test_requests, malformed_requests).

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -1,10 +1,128 @@
-//! Measures convergence, control bytes and latency.
+//! Measures convergence, control bytes, latency and more.
 
 use std::ffi::OsString;
 
-use crate::util::CliResult;
+use serde_json::Value;
+use tarragoncourse::experiment::{
+    Report, baseline, churn, claims, convergence, latency, picking, size,
+};
+
+use crate::util::{CliError, CliResult, arguments, block_on, one_word, table};
+
+const USAGE: &str = "
+Measures the system in this process, over real loopback sockets and with stand-ins
+for the platform and the targets, and prints a table.
+
+Usage:
+    tarragon experiment [options] NAME
+
+Names:
+    baseline      distribution by polling, by watching, and by whole snapshots
+    churn         one node replaced, then half of the fleet
+    claims        platform writes as keyed requests grow
+    convergence   convergence time and control bytes as the fleet grows
+    latency       latency that the two hops add to a direct call
+    picking       picking and queueing against plain ways, on a virtual clock
+    size          cost of the configuration and the member table as they grow
+
+Options:
+    --sizes N,N,...   fleet sizes, callers, rates or services, as the name has it
+    --changes N       changes for each size [default: 20]
+    --calls N         calls for each number of callers [default: 20000]
+    --seed N          seed of the virtual clock's arrivals [default: 1]
+    --json            print JSON
+";
+
+struct Args {
+    name: String,
+    sizes: Option<Vec<usize>>,
+    changes: usize,
+    calls: usize,
+    seed: u64,
+    json: bool,
+}
+
+impl Args {
+    fn parse(argv: Vec<OsString>) -> CliResult<Args> {
+        let mut args = arguments(argv, USAGE)?;
+        let sizes: Option<String> = args.opt_value_from_str("--sizes")?;
+        let changes: Option<usize> = args.opt_value_from_str("--changes")?;
+        let calls: Option<usize> = args.opt_value_from_str("--calls")?;
+        let seed: Option<u64> = args.opt_value_from_str("--seed")?;
+        Ok(Args {
+            sizes: sizes.as_deref().map(numbers).transpose()?,
+            changes: changes.unwrap_or(20),
+            calls: calls.unwrap_or(20_000),
+            seed: seed.unwrap_or(1),
+            json: args.contains("--json"),
+            name: one_word(args, "experiment's name")?,
+        })
+    }
+
+    fn sizes(&self, default: &[usize]) -> Vec<usize> {
+        self.sizes.clone().unwrap_or_else(|| default.to_vec())
+    }
+}
+
+fn numbers(text: &str) -> CliResult<Vec<usize>> {
+    let parse = |n: &str| n.parse().ok().filter(|n| *n > 0);
+    let parsed: Option<Vec<usize>> = text.split(',').map(parse).collect();
+    parsed.ok_or_else(|| CliError::Usage(format!("--sizes {text}: write N,N,...")))
+}
 
 /// Runs the subcommand.
-pub fn run(_argv: Vec<OsString>) -> CliResult<()> {
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let args = Args::parse(argv)?;
+    let report = block_on(async {
+        let measured = measure(&args).await;
+        measured.map_err(|e| CliError::Other(e.to_string()))
+    })?;
+    if args.json {
+        let page = serde_json::json!({
+            "experiment": args.name,
+            "version": env!("CARGO_PKG_VERSION"),
+            "seed": args.seed,
+            "rows": report.to_json(),
+        });
+        println!("{page}");
+        return Ok(());
+    }
+    let cell = |v: &Value| match v {
+        Value::String(s) => s.clone(),
+        other => other.to_string(),
+    };
+    let rows: Vec<Vec<String>> = report
+        .rows
+        .iter()
+        .map(|r| r.iter().map(cell).collect())
+        .collect();
+    table(&report.head, &rows);
     Ok(())
 }
+
+async fn measure(args: &Args) -> anyhow::Result<Report> {
+    match args.name.as_str() {
+        "baseline" => {
+            let nodes = args.sizes(&[128])[0];
+            baseline::run(nodes, 500, args.changes.min(10) as u64).await
+        }
+        "churn" => churn::run(&args.sizes(&[16, 64])).await,
+        "claims" => {
+            let rates: Vec<f64> = args
+                .sizes(&[50, 200, 800])
+                .iter()
+                .map(|n| *n as f64)
+                .collect();
+            claims::run(&rates).await
+        }
+        "convergence" => {
+            let (report, _) =
+                convergence::run(&args.sizes(&[8, 16, 64, 256]), args.changes).await?;
+            Ok(report)
+        }
+        "latency" => latency::run(&args.sizes(&[1, 8, 32]), args.calls).await,
+        "picking" => Ok(picking::run(args.seed)),
+        "size" => Ok(size::run(&args.sizes(&[28, 280, 2800]))),
+        other => anyhow::bail!("experiment `{other}` is not known; see --help"),
+    }
+}
--- /dev/null
+++ b/src/experiment/claims.rs
@@ -0,0 +1,97 @@
+//! Platform writes as keyed requests grow, with the claims batched by the watchers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+use serde_json::Value;
+
+use super::latency::{ready_fleet, service_path};
+use super::{Report, rounded};
+use crate::coordination::commit::Verdict;
+use crate::load::{LoadPlan, LoadRoute, Told, run as send};
+use crate::standin::target::Behaviour;
+use crate::state::id::Path;
+use crate::state::object::{Class, Idempotency, Object, Route};
+use crate::state::snapshot::Edit;
+
+/// How long each rate is sent.
+const TIME: Duration = Duration::from_secs(4);
+
+/// Measures keyed requests at the given rates.
+///
+/// # Errors
+/// Any socket error, and a fleet that does not join.
+pub async fn run(rates: &[f64]) -> anyhow::Result<Report> {
+    let mut report = Report::new(&[
+        "keyed/s",
+        "answered",
+        "not run",
+        "platform writes/s",
+        "writes/request",
+        "p50 ms",
+        "p99 ms",
+    ]);
+    let behaviour = Behaviour {
+        service_ms: 1,
+        slots: 64,
+        ..Behaviour::default()
+    };
+    let fleet = ready_fleet(3, 3, behaviour).await?;
+    let verdict = fleet.node(0).change(vec![keyed_route()]).await;
+    anyhow::ensure!(matches!(verdict, Verdict::Accepted { .. }), "not accepted");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for (seed, rate) in rates.iter().enumerate() {
+        let writes = fleet.platform.calls().writes;
+        let sent = send(&plan(&fleet.callers(), *rate, seed as u64)).await;
+        let writes = (fleet.platform.calls().writes - writes) as f64;
+        let latency = sent.latency(None);
+        report.row(vec![
+            rounded(*rate),
+            Value::from(sent.count(Told::Answered)),
+            Value::from(sent.count(Told::NotRun)),
+            rounded(writes / TIME.as_secs_f64()),
+            rounded(writes / sent.records.len() as f64),
+            rounded(latency.value_at_quantile(0.5) as f64 / 1000.0),
+            rounded(latency.value_at_quantile(0.99) as f64 / 1000.0),
+        ]);
+    }
+    fleet.end();
+    Ok(report)
+}
+
+fn plan(nodes: &[std::net::SocketAddr], rate: f64, seed: u64) -> LoadPlan {
+    LoadPlan {
+        nodes: nodes.to_vec(),
+        rate,
+        time: TIME,
+        mix: vec![LoadRoute {
+            name: "keyed".to_string(),
+            method: Method::POST,
+            host: "guild.example".to_string(),
+            path: "/keyed".to_string(),
+            weight: 1.0,
+            body: 100,
+            answer: 0,
+            keyed: true,
+        }],
+        seed: 100 + seed,
+        timeout: Duration::from_secs(20),
+    }
+}
+
+fn keyed_route() -> Edit {
+    let path = Path::new("guild/routes/keyed").expect("a valid path");
+    let route = Route {
+        host: None,
+        prefix: "/keyed".to_string(),
+        methods: Default::default(),
+        service: service_path(),
+        class: Class::Order,
+        deadline: Duration::from_secs(5),
+        attempts: 3,
+        idempotency: Idempotency::Never,
+        keyed: true,
+    };
+    Edit::Put(path, Arc::new(Object::Route(route)))
+}
--- /dev/null
+++ b/src/experiment/fleet.rs
@@ -0,0 +1,196 @@
+//! A fleet in this process: nodes, targets and the platform stand-in on loopback.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::node::config::{Listen, NodeSettings, TargetAddress};
+use crate::node::{Node, RunningNode};
+use crate::standin::platform::MemoryPlatform;
+use crate::standin::target::{Behaviour, Target};
+use crate::state::id::{Path, Version};
+use crate::transport::http::{ServeLimits, serve};
+
+/// Zones that the nodes are spread over.
+pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+/// Interval between looks at the nodes while waiting.
+const POLL: Duration = Duration::from_millis(1);
+/// Connections that a stand-in target takes.
+const TARGET_CONNECTIONS: usize = 10_000;
+
+/// A target and where it listens.
+pub struct PlacedTarget {
+    /// The target.
+    pub target: Arc<Target>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its service.
+    pub service: Path,
+    stop: watch::Sender<bool>,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// The platform stand-in.
+    pub platform: MemoryPlatform,
+    /// The nodes.
+    pub nodes: Vec<RunningNode<MemoryPlatform>>,
+    /// The targets; the first nodes stand beside them, in order.
+    pub targets: Vec<PlacedTarget>,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Fleet {
+            platform: MemoryPlatform::default(),
+            nodes: Vec::new(),
+            targets: Vec::new(),
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts a target of a service and a node beside it.
+    ///
+    /// # Errors
+    /// Any socket error.
+    pub async fn add_target(&mut self, service: &Path, behaviour: Behaviour) -> io::Result<()> {
+        let target = Target::new(behaviour);
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        let limits = ServeLimits {
+            connections: TARGET_CONNECTIONS,
+            drain: Duration::ZERO,
+        };
+        tokio::spawn(serve(listener, target.clone(), limits, stopped));
+        let beside = TargetAddress {
+            address,
+            service: service.clone(),
+            slots: behaviour.slots,
+        };
+        self.add_node(Some(beside)).await?;
+        self.targets.push(PlacedTarget {
+            target,
+            address,
+            service: service.clone(),
+            stop,
+        });
+        Ok(())
+    }
+
+    /// Starts a node.
+    ///
+    /// # Errors
+    /// Any socket error.
+    pub async fn add_node(&mut self, target: Option<TargetAddress>) -> io::Result<()> {
+        let number = self.nodes.len();
+        let settings = settings(number, target);
+        let running = RunningNode::start(settings, self.platform.clone()).await?;
+        self.nodes.push(running);
+        Ok(())
+    }
+
+    /// Starts many nodes without targets.
+    ///
+    /// # Errors
+    /// Any socket error.
+    pub async fn add_nodes(&mut self, count: usize) -> io::Result<()> {
+        for _ in 0..count {
+            self.add_node(None).await?;
+        }
+        Ok(())
+    }
+
+    /// One of the nodes.
+    pub fn node(&self, at: usize) -> &Arc<Node<MemoryPlatform>> {
+        self.nodes[at].node()
+    }
+
+    /// Callers' addresses of all nodes.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let callers = |n: &RunningNode<MemoryPlatform>| n.node().addresses().callers;
+        self.nodes.iter().map(callers).collect()
+    }
+
+    /// Waits until every node is ready and knows every other. Returns how long it took, or none
+    /// when it took longer than `most`.
+    pub async fn joined(&self, most: Duration) -> Option<Duration> {
+        let count = self.nodes.len();
+        self.until(most, |n| n.is_ready() && n.members_alive() == count)
+            .await
+    }
+
+    /// Waits until every node has a version in force.
+    pub async fn in_force(&self, version: Version, most: Duration) -> Option<Duration> {
+        self.until(most, |n| n.version() >= version).await
+    }
+
+    async fn until(
+        &self,
+        most: Duration,
+        holds: impl Fn(&Node<MemoryPlatform>) -> bool,
+    ) -> Option<Duration> {
+        let began = Instant::now();
+        let mut from = 0;
+        while from < self.nodes.len() {
+            if holds(self.node(from)) {
+                from += 1;
+                continue;
+            }
+            if began.elapsed() > most {
+                return None;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Some(began.elapsed())
+    }
+
+    /// Control bytes of a kind, sent and received, over all nodes.
+    pub fn control_bytes(&self, kind: &'static str) -> u64 {
+        let sum = |n: &RunningNode<MemoryPlatform>| {
+            let (sent, received) = n.node().metrics().control_bytes(kind);
+            sent + received
+        };
+        self.nodes.iter().map(sum).sum()
+    }
+
+    /// Ends everything at once.
+    pub fn end(self) {
+        self.nodes.into_iter().for_each(RunningNode::kill);
+        for t in self.targets {
+            // The target's task may have ended with the runtime.
+            let _ = t.stop.send(true);
+        }
+    }
+}
+
+/// Settings of a node on loopback.
+pub fn settings(number: usize, target: Option<TargetAddress>) -> NodeSettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    NodeSettings {
+        instance: format!("instance-{number}"),
+        zone: ZONES[number % ZONES.len()].to_string(),
+        listen: Listen {
+            peers: any,
+            gate: any,
+            callers: any,
+            admin: any,
+        },
+        platform: any,
+        fleet_key: "fleet key of an experiment".to_string(),
+        admin_token_hash: None,
+        target,
+        peers: Vec::new(),
+        log: log::LevelFilter::Warn,
+        drain: Duration::from_secs(10),
+        join_jitter: Duration::from_millis(100),
+        replay_body: 64 << 10,
+        connections: 10_000,
+    }
+}
--- /dev/null
+++ b/src/experiment/latency.rs
@@ -0,0 +1,186 @@
+//! Latency that the two hops add to a call, against a direct call in the same run.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gotham::helpers::http::Body;
+use hdrhistogram::Histogram;
+use hyper::Request;
+use serde_json::Value;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::convergence::team;
+use super::fleet::Fleet;
+use super::process::processor_time;
+use super::{Report, rounded};
+use crate::coordination::commit::Verdict;
+use crate::standin::target::Behaviour;
+use crate::state::id::Path;
+use crate::state::object::{Class, Idempotency, Object, Route, Service};
+use crate::state::snapshot::Edit;
+use crate::transport::client::HttpClient;
+use crate::transport::http::read_body;
+
+/// Longest wait for the fleet to be ready.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Calls before the measurement.
+const WARM_UP: usize = 200;
+
+/// The path of the experiments' service.
+pub fn service_path() -> Path {
+    Path::new("guild/services/stockroom").expect("a valid path")
+}
+
+/// A fleet with one service of so many targets, and nodes without targets, ready to be called.
+///
+/// # Errors
+/// Any socket error, and a fleet that does not join.
+pub async fn ready_fleet(
+    entries: usize,
+    targets: usize,
+    behaviour: Behaviour,
+) -> anyhow::Result<Fleet> {
+    let mut fleet = Fleet::default();
+    let service = service_path();
+    for _ in 0..targets {
+        fleet.add_target(&service, behaviour).await?;
+    }
+    fleet.add_nodes(entries).await?;
+    let joined = fleet.joined(PATIENCE).await;
+    joined.ok_or_else(|| anyhow::anyhow!("the fleet did not join"))?;
+    let Verdict::Accepted { snapshot, .. } = fleet.node(0).change(settings(&service)).await else {
+        anyhow::bail!("the settings were not accepted");
+    };
+    let settled = fleet.in_force(snapshot.version(), PATIENCE).await;
+    settled.ok_or_else(|| anyhow::anyhow!("the settings did not converge"))?;
+    // Targets are probed twice a second; all are known to be up after this.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    Ok(fleet)
+}
+
+/// A team, a service, and one route to it for each class.
+pub fn settings(service: &Path) -> Vec<Edit> {
+    let object = Service {
+        shed_status: Some(503),
+        health: None,
+    };
+    let mut edits = vec![team(), Edit::Put(service.clone(), Arc::new(object.into()))];
+    edits.extend(Class::ALL.map(|class| {
+        let path = Path::new(&format!("guild/routes/{class}")).expect("a valid path");
+        let route = Route {
+            host: None,
+            prefix: format!("/{class}"),
+            methods: Default::default(),
+            service: service.clone(),
+            class,
+            deadline: Duration::from_secs(10),
+            attempts: 3,
+            idempotency: Idempotency::ByMethod,
+            keyed: false,
+        };
+        Edit::Put(path, Arc::new(Object::Route(route)))
+    }));
+    edits
+}
+
+/// Measures callers that call one after another: to the target directly, and through an entry
+/// node and the target's node.
+///
+/// # Errors
+/// Any socket error, and a call without an answer.
+pub async fn run(callers: &[usize], calls: usize) -> anyhow::Result<Report> {
+    let mut report = Report::new(&[
+        "callers",
+        "direct p50 us",
+        "direct p99 us",
+        "via p50 us",
+        "via p99 us",
+        "added p50 us",
+        "added p99 us",
+        "direct calls/s",
+        "via calls/s",
+        "core us/call via",
+    ]);
+    let behaviour = Behaviour {
+        service_ms: 0,
+        slots: 256,
+        ..Behaviour::default()
+    };
+    let fleet = ready_fleet(1, 1, behaviour).await?;
+    let entry = fleet.node(1).addresses().callers;
+    let target = fleet.targets[0].address;
+    for callers in callers {
+        let direct = measure(target, *callers, calls).await?;
+        let via = measure(entry, *callers, calls).await?;
+        let at = |m: &Load, q| m.latency.value_at_quantile(q);
+        let added = |q| at(&via, q) as i64 - at(&direct, q) as i64;
+        report.row(vec![
+            Value::from(*callers),
+            Value::from(at(&direct, 0.5)),
+            Value::from(at(&direct, 0.99)),
+            Value::from(at(&via, 0.5)),
+            Value::from(at(&via, 0.99)),
+            Value::from(added(0.5)),
+            Value::from(added(0.99)),
+            rounded(direct.rate),
+            rounded(via.rate),
+            rounded((via.busy - direct.busy) * 1e6),
+        ]);
+    }
+    fleet.end();
+    Ok(report)
+}
+
+struct Load {
+    latency: Histogram<u64>,
+    rate: f64,
+    /// Seconds of processor time a call.
+    busy: f64,
+}
+
+async fn measure(to: SocketAddr, callers: usize, calls: usize) -> anyhow::Result<Load> {
+    let client = HttpClient::default();
+    let each = calls / callers;
+    let warm = WARM_UP.div_ceil(callers);
+    let mut tasks = JoinSet::new();
+    (0..callers).for_each(|_| drop(tasks.spawn(call_many(client.clone(), to, warm))));
+    while let Some(ended) = tasks.join_next().await {
+        ended??;
+    }
+    let (began, busy) = (Instant::now(), processor_time());
+    (0..callers).for_each(|_| drop(tasks.spawn(call_many(client.clone(), to, each))));
+    let mut latency = Histogram::new(3)?;
+    while let Some(ended) = tasks.join_next().await {
+        latency.add(ended??)?;
+    }
+    let count = latency.len() as f64;
+    Ok(Load {
+        rate: count / began.elapsed().as_secs_f64(),
+        busy: (processor_time() - busy).as_secs_f64() / count,
+        latency,
+    })
+}
+
+async fn call_many(
+    client: HttpClient,
+    to: SocketAddr,
+    calls: usize,
+) -> anyhow::Result<Histogram<u64>> {
+    let mut latency = Histogram::new(3)?;
+    for _ in 0..calls {
+        let request = Request::get("/lookup").body(Body::default())?;
+        let began = Instant::now();
+        let sent = client.send(to, request).await;
+        let response = sent.map_err(|e| anyhow::anyhow!("no answer: {e:?}"))?;
+        anyhow::ensure!(
+            response.status().is_success(),
+            "status {}",
+            response.status()
+        );
+        read_body(response.into_body(), 1 << 20).await?;
+        latency.record(began.elapsed().as_micros() as u64)?;
+    }
+    Ok(latency)
+}
--- /dev/null
+++ b/src/experiment/mod.rs
@@ -0,0 +1,61 @@
+//! Experiments: many nodes as tasks of one process over real loopback sockets, with stand-ins for
+//! the platform and the targets. Each prints a table and can be read as JSON.
+
+pub mod baseline;
+pub mod churn;
+pub mod claims;
+pub mod convergence;
+pub mod fleet;
+pub mod latency;
+pub mod picking;
+pub mod process;
+pub mod size;
+
+use serde_json::{Map, Value};
+
+/// A named table of results.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Names of the columns, with units.
+    pub head: Vec<&'static str>,
+    /// One row a case.
+    pub rows: Vec<Vec<Value>>,
+}
+
+impl Report {
+    /// A table with these columns.
+    pub fn new(head: &[&'static str]) -> Report {
+        Report {
+            head: head.to_vec(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: Vec<Value>) {
+        debug_assert_eq!(cells.len(), self.head.len(), "one cell a column");
+        self.rows.push(cells);
+    }
+
+    /// The rows as JSON objects.
+    ///
+    /// ```
+    /// use tarragoncourse::experiment::Report;
+    /// let mut report = Report::new(&["nodes"]);
+    /// report.row(vec![8.into()]);
+    /// assert_eq!(report.to_json()[0]["nodes"], 8);
+    /// ```
+    pub fn to_json(&self) -> Vec<Value> {
+        let object = |row: &Vec<Value>| {
+            let cells = self.head.iter().map(|h| h.to_string());
+            let pairs: Map<String, Value> = cells.zip(row.iter().cloned()).collect();
+            Value::Object(pairs)
+        };
+        self.rows.iter().map(object).collect()
+    }
+}
+
+/// A number with two digits after the point.
+pub fn rounded(x: f64) -> Value {
+    Value::from((x * 100.0).round() / 100.0)
+}
--- /dev/null
+++ b/src/experiment/size.rs
@@ -0,0 +1,106 @@
+//! Cost of the configuration and of the member table as they grow: time and memory.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use super::convergence::{sample, service};
+use super::process::resident_bytes;
+use super::{Report, rounded};
+use crate::protocol::wire::WireSnapshot;
+use crate::state::id::{Incarnation, Path};
+use crate::state::member::{Beside, Health, MemberTable, Record};
+use crate::state::routing::RoutingTable;
+use crate::state::snapshot::Edit;
+use crate::state::validate::check_whole;
+
+/// Repetitions of each timed step.
+const ROUNDS: u32 = 20;
+
+/// Measures configurations with the given numbers of services, each with ten targets' records.
+pub fn run(sizes: &[usize]) -> Report {
+    let mut report = Report::new(&[
+        "services",
+        "members",
+        "apply us",
+        "check us",
+        "table build us",
+        "refresh one us",
+        "snapshot KiB wire",
+        "snapshot KiB",
+        "members KiB",
+        "table KiB",
+    ]);
+    for services in sizes {
+        report.row(measure(*services));
+    }
+    report
+}
+
+fn measure(services: usize) -> Vec<Value> {
+    let start = resident_bytes();
+    let config = sample(services);
+    let with_config = resident_bytes();
+    let mut members = MemberTable::default();
+    for n in 0..services * 10 {
+        members.merge(&record(n, services));
+    }
+    let with_members = resident_bytes();
+    let table = RoutingTable::build(&config, &members);
+    let with_table = resident_bytes();
+
+    let edits: Vec<Edit> = (0..3).map(|k| service(k, 1)).collect();
+    let apply = timed(|| config.preview(&edits).digest());
+    let check = timed(|| check_whole(&config).len());
+    let build = timed(|| RoutingTable::build(&config, &members).version());
+    let path = Path::new("guild/services/service-0").expect("a valid path");
+    let refresh = timed(|| table.refresh(&members, [&path]).version());
+    let wire = postcard::to_stdvec(&WireSnapshot::from(&config));
+    let wire = wire.expect("plain data encodes").len();
+    let kib = |bytes: u64| rounded(bytes as f64 / 1024.0);
+    vec![
+        Value::from(services),
+        Value::from(services * 10),
+        micros(apply),
+        micros(check),
+        micros(build),
+        micros(refresh),
+        kib(wire as u64),
+        kib(with_config.saturating_sub(start)),
+        kib(with_members.saturating_sub(with_config)),
+        kib(with_table.saturating_sub(with_members)),
+    ]
+}
+
+fn timed<T>(mut step: impl FnMut() -> T) -> Duration {
+    let began = Instant::now();
+    for _ in 0..ROUNDS {
+        std::hint::black_box(step());
+    }
+    began.elapsed() / ROUNDS
+}
+
+fn micros(d: Duration) -> Value {
+    rounded(d.as_secs_f64() * 1e6)
+}
+
+fn record(n: usize, services: usize) -> Record {
+    let [a, b] = (n as u16).to_be_bytes();
+    let name = format!("guild/services/service-{}", n % services);
+    Record {
+        peer: SocketAddr::from(([10, (n >> 16) as u8, a, b], 7000)),
+        gate: 7001,
+        incarnation: Incarnation(1_796_000_000_000),
+        sequence: 3,
+        zone: Arc::from(["zone-a", "zone-b", "zone-c"][n % 3]),
+        health: Health::Ready,
+        watcher: false,
+        target: Some(Beside {
+            instance: format!("instance-{n}").into(),
+            service: Path::new(&name).expect("a valid path"),
+            slots: 12,
+        }),
+    }
+}
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -129,7 +130,11 @@
                 let most = self.settings.replay_body as usize;
                 Ok(SharedBody::Whole(read_body(body, most).await?))
             }
-            _ => Ok(SharedBody::Once(Arc::new(Mutex::new(Some(body))))),
+            _ => {
+                let body = Mutex::new(Some(body));
+                let failed = AtomicBool::new(false);
+                Ok(SharedBody::Once(Arc::new(Upload { body, failed })))
+            }
         }
     }
 
@@ -265,6 +270,14 @@
                 let outcome = Outcome::NotRun(NotRun::Unreachable);
                 (Ended::Short(outcome), Sign::Failed)
             }
+            // The caller's upload broke off, which says nothing about the target.
+            Ok(Err(SendError::Broken)) if call.body.has_failed() => {
+                let outcome = match self.void(passport, target, Doubt::LinkBroken).await {
+                    Outcome::NotRun(_) => Outcome::NotRun(NotRun::CallerGone),
+                    other => other,
+                };
+                (Ended::Short(outcome), Sign::Abandoned)
+            }
             Ok(Err(SendError::Broken)) => {
                 let outcome = self.void(passport, target, Doubt::LinkBroken).await;
                 (Ended::Short(outcome), Sign::Failed)
@@ -330,7 +343,14 @@
     /// Held whole.
     Whole(Bytes),
     /// Streamed from the caller; gone once an attempt has read from it.
-    Once(Arc<Mutex<Option<Body>>>),
+    Once(Arc<Upload>),
+}
+
+/// A caller's streamed body.
+struct Upload {
+    body: Mutex<Option<Body>>,
+    /// Whether the caller broke off, or sent what is not a body.
+    failed: AtomicBool,
 }
 
 impl SharedBody {
@@ -338,8 +358,8 @@
         match self {
             SharedBody::Whole(bytes) if bytes.is_empty() => Body::default(),
             SharedBody::Whole(bytes) => full_body(bytes.clone()),
-            SharedBody::Once(shared) => Body::new(StreamedBody {
-                shared: shared.clone(),
+            SharedBody::Once(upload) => Body::new(StreamedBody {
+                upload: upload.clone(),
                 taken: None,
             }),
         }
@@ -348,14 +368,21 @@
     fn is_replayable(&self) -> bool {
         match self {
             SharedBody::Whole(_) => true,
-            SharedBody::Once(shared) => lock(shared).is_some(),
+            SharedBody::Once(upload) => lock(&upload.body).is_some(),
+        }
+    }
+
+    fn has_failed(&self) -> bool {
+        match self {
+            SharedBody::Whole(_) => false,
+            SharedBody::Once(upload) => upload.failed.load(Ordering::Acquire),
         }
     }
 }
 
 /// Takes the caller's body at the first read, so that an attempt that never read leaves it whole.
 struct StreamedBody {
-    shared: Arc<Mutex<Option<Body>>>,
+    upload: Arc<Upload>,
     taken: Option<Body>,
 }
 
@@ -368,11 +395,17 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if self.taken.is_none() {
-            let body = lock(&self.shared).take();
+            let body = lock(&self.upload.body).take();
             self.taken = body;
         }
         match &mut self.taken {
-            Some(body) => Pin::new(body).poll_frame(cx),
+            Some(body) => {
+                let polled = Pin::new(body).poll_frame(cx);
+                if matches!(polled, Poll::Ready(Some(Err(_)))) {
+                    self.upload.failed.store(true, Ordering::Release);
+                }
+                polled
+            }
             None => Poll::Ready(Some(Err(io::ErrorKind::BrokenPipe.into()))),
         }
     }
@@ -380,7 +413,7 @@
     fn size_hint(&self) -> SizeHint {
         match &self.taken {
             Some(body) => body.size_hint(),
-            None => lock(&self.shared)
+            None => lock(&self.upload.body)
                 .as_ref()
                 .map_or_else(SizeHint::default, HttpBody::size_hint),
         }
@@ -429,6 +462,10 @@
 fn told(outcome: Outcome) -> Told {
     let (status, remedy) = match outcome {
         Outcome::Answered => (StatusCode::OK, ""),
+        Outcome::NotRun(NotRun::CallerGone) => (
+            StatusCode::BAD_REQUEST,
+            "the request's body broke off; send it whole",
+        ),
         Outcome::NotRun(_) => (
             StatusCode::SERVICE_UNAVAILABLE,
             "it was not run; send it again later",
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -18,6 +18,7 @@
 use crate::protocol::wire::WireError;
 use crate::state::id::{ChangeId, Version};
 use crate::state::snapshot::{Delta, Edit, Snapshot};
+use crate::state::validate::ADMIN;
 use crate::transport::platform::{Platform, PlatformError};
 
 /// Longest time that a change may take to be accepted.
@@ -128,6 +129,17 @@
         Ok(decode_pieces(index, &pieces)?)
     }
 
+    /// Makes a change as an administrator, without a conflict check.
+    pub async fn change(self: &Arc<Self>, edits: Vec<Edit>) -> Verdict {
+        let request = Request {
+            change: ChangeId(fastrand::u128(..)),
+            author: ADMIN.to_string(),
+            base: None,
+            edits,
+        };
+        self.commit(request).await
+    }
+
     /// Drives a change to its verdict, and puts an accepted one in force here.
     pub(super) async fn commit(self: &Arc<Self>, request: Request) -> Verdict {
         let now = Instant::now();
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -115,6 +115,8 @@
                 tokio::time::sleep(left).await;
                 return empty(StatusCode::GATEWAY_TIMEOUT);
             }
+            // The runtime's timer rounds up to a millisecond, even from zero.
+            _ if time.is_zero() => {}
             _ => tokio::time::sleep(time).await,
         }
         answer(&id, length, behaviour.cut)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -277,3 +277,174 @@
 class: order
 deadline: 5s
 ";
+
+/// A small fleet of real processes: entry nodes without targets, and nodes beside targets.
+pub struct Fleet {
+    pub w: Workdir,
+    pub platform: Process,
+    pub targets: Vec<(Process, SocketAddr)>,
+    pub nodes: Vec<NodeProcess>,
+    pub entries: Vec<NodeProcess>,
+}
+
+/// Settings of the fleet: orders that must not repeat, lookups that may, and keyed deposits.
+pub const FLEET: &str = "
+kind: team
+path: guild
+token-hash: \"30cbb07181cbb4c53ef8db4bba1c0e95:57313ca91d67df58598baf2d09f61ef79aba68e9038efb20493623b8f8ba2f99\"
+---
+kind: service
+path: guild/services/cutbook
+shed-status: 503
+---
+kind: route
+path: guild/routes/orders
+host: guild.example
+prefix: /orders
+service: guild/services/cutbook
+class: order
+deadline: 3s
+attempts: 4
+idempotent: never
+---
+kind: route
+path: guild/routes/stock
+host: guild.example
+prefix: /stock
+service: guild/services/cutbook
+class: lookup
+deadline: 3s
+---
+kind: route
+path: guild/routes/deposits
+host: guild.example
+prefix: /deposits
+service: guild/services/cutbook
+class: order
+deadline: 3s
+idempotent: never
+keyed: true
+";
+
+impl Fleet {
+    pub fn start(name: &str, entries: usize, targets: usize, behaviour: &str) -> Fleet {
+        let mut w = Workdir::new(name);
+        let platform = w.platform();
+        let targets: Vec<_> = (0..targets).map(|_| w.target(behaviour)).collect();
+        let zones = ["hamilton", "matamata", "te-awamutu"];
+        let nodes: Vec<_> = (0..targets.len())
+            .map(|n| {
+                let target = Some(("guild/services/cutbook", targets[n].1));
+                w.node(&format!("cutbook-{n}"), zones[n % 3], target)
+            })
+            .collect();
+        let entries: Vec<_> = (0..entries)
+            .map(|n| w.node(&format!("entry-{n}"), zones[n % 3], None))
+            .collect();
+        let fleet = Fleet {
+            w,
+            platform,
+            targets,
+            nodes,
+            entries,
+        };
+        let all: Vec<&NodeProcess> = fleet.nodes.iter().chain(&fleet.entries).collect();
+        fleet.w.until_joined(&all);
+        fleet.w.write("fleet.yaml", FLEET);
+        fleet.w.ok(
+            Some(&fleet.entries[0]),
+            &["apply", "--wait", "-f", "fleet.yaml"],
+        );
+        until("every target takes work", || {
+            all.iter().all(|n| {
+                let status = http(n.admin, "GET", "x", "/v1/status", &[], "");
+                let wanted = format!("\"targets\":{}", fleet.targets.len());
+                status.is_some_and(|s| s.body.contains(&wanted))
+            })
+        });
+        fleet
+    }
+
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.callers).collect()
+    }
+
+    /// How often each request ran, over all targets.
+    pub fn runs(&self) -> std::collections::HashMap<String, u32> {
+        let mut all = std::collections::HashMap::new();
+        for (_, at) in &self.targets {
+            let page = http(*at, "GET", "x", "/_/runs", &[], "").expect("the target answers");
+            let runs: std::collections::HashMap<String, u32> =
+                serde_json::from_str(&page.body).expect("counts");
+            for (id, count) in runs {
+                *all.entry(id).or_insert(0) += count;
+            }
+        }
+        all
+    }
+
+    /// How many runs one target counted.
+    pub fn runs_of(&self, target: usize) -> u32 {
+        let page = http(self.targets[target].1, "GET", "x", "/_/runs", &[], "");
+        let runs: std::collections::HashMap<String, u32> =
+            serde_json::from_str(&page.expect("the target answers").body).expect("counts");
+        runs.values().sum()
+    }
+
+    pub fn set_faults(&self, json: &str) {
+        let to = self.w.platform.expect("a platform runs");
+        let answer = http(to, "POST", "x", "/faults", &[], json);
+        assert_eq!(answer.expect("the platform answers").status, 200);
+    }
+
+    pub fn behave(&self, target: usize, json: &str) {
+        let answer = http(
+            self.targets[target].1,
+            "POST",
+            "x",
+            "/_/behaviour",
+            &[],
+            json,
+        );
+        assert_eq!(answer.expect("the target answers").status, 200);
+    }
+}
+
+pub fn route(
+    method: &str,
+    path: &str,
+    body: usize,
+    answer: usize,
+) -> tarragoncourse::load::LoadRoute {
+    tarragoncourse::load::LoadRoute {
+        name: path.to_string(),
+        method: method.parse().expect("a method"),
+        host: "guild.example".to_string(),
+        path: path.to_string(),
+        weight: 1.0,
+        body,
+        answer,
+        keyed: path.starts_with("/deposits"),
+    }
+}
+
+/// Sends load from a thread of its own.
+pub fn load(
+    nodes: Vec<SocketAddr>,
+    rate: f64,
+    seconds: u64,
+    mix: Vec<tarragoncourse::load::LoadRoute>,
+) -> std::thread::JoinHandle<tarragoncourse::load::LoadReport> {
+    let plan = tarragoncourse::load::LoadPlan {
+        nodes,
+        rate,
+        time: Duration::from_secs(seconds),
+        mix,
+        seed: 1,
+        timeout: Duration::from_secs(20),
+    };
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(tarragoncourse::load::run(&plan))
+    })
+}
