--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -1,10 +1,170 @@
-//! Measures convergence, control bytes and latency.
+//! Runs a small fleet in this process and shows what it does.
 
 use std::ffi::OsString;
+use std::time::Duration;
 
-use crate::util::CliResult;
+use hyper::Method;
+use tarragoncourse::coordination::commit::Verdict;
+use tarragoncourse::experiment::fleet::Fleet;
+use tarragoncourse::load::{LoadPlan, LoadRoute, Told, run as send};
+use tarragoncourse::standin::target::Behaviour;
+use tarragoncourse::state::id::{Path, Version};
+use tarragoncourse::state::settings::{edits, parse};
+use tarragoncourse::state::snapshot::Edit;
+
+use super::load::print;
+use crate::util::{CliError, CliResult, arguments, block_on, words};
+
+const USAGE: &str = "
+Runs a small fleet in this process: three availability zones, the services of two
+deployments, and stand-ins for the platform and the targets. Applies settings, sends
+requests, changes a route, kills a node, and shows what came of it.
+
+Usage:
+    tarragon demo
+";
+
+const HOKUSEI: &str = include_str!("../../examples/hokusei.yaml");
+const GUILD: &str = include_str!("../../examples/guild.yaml");
+/// Services with their numbers of targets and the slots of each.
+const SERVICES: [(&str, usize, u32); 6] = [
+    ("hokusei/services/quotes", 5, 12),
+    ("hokusei/services/orders", 5, 12),
+    ("hokusei/services/surveys", 3, 12),
+    ("guild/services/stockroom", 5, 16),
+    ("guild/services/cutbook", 3, 16),
+    ("guild/services/planroom", 3, 16),
+];
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Place of the idempotent routes in the mix.
+const REPEATABLE: [usize; 2] = [0, 3];
 
 /// Runs the subcommand.
-pub fn run(_argv: Vec<OsString>) -> CliResult<()> {
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    words(arguments(argv, USAGE)?)?;
+    block_on(async {
+        let shown = show().await;
+        shown.map_err(|e| CliError::Other(e.to_string()))
+    })
+}
+
+async fn show() -> anyhow::Result<()> {
+    let mut fleet = start().await?;
+    let version = apply(&fleet, 0, &format!("{HOKUSEI}---\n{GUILD}")).await?;
+    println!("settings of both deployments: version {version} in force on every node");
+    // Targets are probed twice a second; all are known to be up after this.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    println!("\nrequests, five seconds of them:");
+    requests(&fleet, 3).await?;
+
+    let before = control(&fleet);
+    let changed = GUILD.replace("prefix: /stock", "prefix: /shelves");
+    apply(&fleet, 7, &changed).await?;
+    let bytes = (control(&fleet) - before) / fleet.nodes.len() as u64;
+    println!("\na route changed; {bytes} control bytes sent by each node on average");
+
+    println!("\none node is killed; requests go on:");
+    fleet.nodes.remove(5).kill();
+    requests(&fleet, 4).await?;
+    let calls = fleet.platform.calls();
+    println!(
+        "\nplatform calls in all: {} reads, {} writes",
+        calls.reads, calls.writes
+    );
+    fleet.end();
+    Ok(())
+}
+
+async fn start() -> anyhow::Result<Fleet> {
+    let mut fleet = Fleet::default();
+    for (service, targets, slots) in SERVICES {
+        let behaviour = Behaviour {
+            slots,
+            ..Behaviour::default()
+        };
+        for _ in 0..targets {
+            fleet.add_target(&Path::new(service)?, behaviour).await?;
+        }
+    }
+    let joined = fleet.joined(PATIENCE).await;
+    let joined = joined.ok_or_else(|| anyhow::anyhow!("the fleet did not join in time"))?;
+    let (nodes, ms) = (fleet.nodes.len(), joined.as_millis());
+    println!("{nodes} nodes in three zones joined from a cold start in {ms} ms");
+    Ok(fleet)
+}
+
+/// Makes a change at one node and waits until every node has it in force.
+async fn apply(fleet: &Fleet, at: usize, text: &str) -> anyhow::Result<Version> {
+    let objects = parse("demo", text).map_err(|p| anyhow::anyhow!("{}", p[0]))?;
+    let edits: Vec<Edit> = edits(&objects);
+    match fleet.node(at).change(edits).await {
+        Verdict::Accepted { snapshot, .. } => {
+            let version = snapshot.version();
+            let took = fleet.in_force(version, PATIENCE).await;
+            let took = took.ok_or_else(|| anyhow::anyhow!("version {version} did not converge"))?;
+            println!("converged in {:.1} ms", took.as_secs_f64() * 1000.0);
+            Ok(version)
+        }
+        verdict => anyhow::bail!("not accepted: {verdict:?}"),
+    }
+}
+
+async fn requests(fleet: &Fleet, seed: u64) -> anyhow::Result<()> {
+    let plan = LoadPlan {
+        nodes: fleet.callers(),
+        rate: 400.0,
+        time: Duration::from_secs(5),
+        mix: vec![
+            kind(Method::GET, "hokusei.example", "/quotes", 4.0, 0, 2_000),
+            kind(Method::POST, "hokusei.example", "/orders", 2.0, 500, 0),
+            kind(Method::POST, "hokusei.example", "/surveys", 0.3, 300_000, 0),
+            kind(Method::GET, "guild.example", "/slots", 4.0, 0, 1_000),
+            kind(Method::POST, "guild.example", "/cutting", 2.0, 500, 0),
+            kind(Method::POST, "guild.example", "/drawings", 0.3, 300_000, 0),
+        ],
+        seed,
+        timeout: Duration::from_secs(20),
+    };
+    let report = send(&plan).await;
+    print(&plan, &report);
+    let mut runs = std::collections::HashMap::new();
+    for (id, count) in fleet.targets.iter().flat_map(|t| t.target.runs()) {
+        *runs.entry(id).or_insert(0) += count;
+    }
+    let violations = report.violations(&runs, &REPEATABLE);
+    anyhow::ensure!(
+        violations.is_empty(),
+        "ran twice or after `not run`: {violations:?}"
+    );
+    anyhow::ensure!(report.count(Told::Wrong) == 0, "an answer was wrong");
+    println!("every answer whole and its own; no order ran twice");
     Ok(())
 }
+
+fn kind(
+    method: Method,
+    host: &str,
+    path: &str,
+    weight: f64,
+    body: usize,
+    answer: usize,
+) -> LoadRoute {
+    LoadRoute {
+        name: format!("{method} {host}{path}"),
+        method,
+        host: host.to_string(),
+        path: path.to_string(),
+        weight,
+        body,
+        answer,
+        keyed: false,
+    }
+}
+
+fn control(fleet: &Fleet) -> u64 {
+    ["announce", "delta"]
+        .map(|k| fleet.control_bytes(k))
+        .iter()
+        .sum()
+}
--- a/src/coordination/distribution.rs
+++ b/src/coordination/distribution.rs
@@ -386,7 +386,12 @@
     fn announce(&mut self, peers: &[SocketAddr], now: Instant, out: &mut Actions) {
         let version = self.held.version();
         self.waiting.clear();
-        for peer in peers {
+        // Whoever told this node of the version needs no telling.
+        let told = match self.wanted == version {
+            true => std::mem::take(&mut self.sources),
+            false => SmallVec::new(),
+        };
+        for peer in peers.iter().filter(|p| !told.contains(p)) {
             out.push(Action::Announce(*peer, version));
             self.waiting.push(Unacknowledged {
                 peer: *peer,
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -22,14 +22,19 @@
 pub const SUSPICION: Duration = Duration::from_secs(3);
 /// Time for which gone members are remembered and retried.
 pub const GONE_RETENTION: Duration = Duration::from_secs(600);
-/// Interval between retries of one gone member, and between table comparisons.
+/// Interval between retries of one gone member.
 pub const REPAIR_PERIOD: Duration = Duration::from_secs(5);
+/// Shortest interval between offers of table digests.
+pub const COMPARE_PERIOD: Duration = Duration::from_secs(2);
 /// Peers asked to probe on this node's behalf.
 const INDIRECT_PROBES: usize = 3;
 /// Records in one datagram; keeps it under a common MTU of 1,400 bytes.
 pub const RECORDS_PER_DATAGRAM: usize = 10;
-/// Times a record is passed on, less one for each time it is heard again.
-const PASSES: u32 = 4;
+/// Times a record is passed on, less one for each time it is heard again, beyond the logarithm
+/// of the fleet's size.
+const PASSES: u32 = 2;
+/// Records under way beyond which each is passed on `PASSES` times only; repair does the rest.
+const NEWS_BUSY: usize = 64;
 /// Peers that a batch of news goes to at once.
 const NEWS_FANOUT: usize = 2;
 /// Interval between batches of news.
@@ -225,6 +230,16 @@
         self.rng.choose_multiple(peers.filter(|p| *p != own), count)
     }
 
+    /// A random live peer of each other zone.
+    pub fn one_of_each_zone(&mut self) -> Vec<SocketAddr> {
+        let own = self.own.zone.clone();
+        let zones = self.table.zones().filter(|(zone, _)| **zone != own);
+        let rng = &mut self.rng;
+        zones
+            .filter_map(|(_, peers)| rng.choice(peers.iter().copied()))
+            .collect()
+    }
+
     /// Publishes a change of this node's own record.
     pub fn update(&mut self, change: impl FnOnce(&mut Record)) {
         let before = self.own.clone();
@@ -239,6 +254,19 @@
         records.iter().filter(|r| self.take(r, now)).count()
     }
 
+    /// Takes in the whole table of a peer, and passes on what that table lacks: two parts of a
+    /// fleet that meet learn of each other both ways.
+    pub fn exchange(&mut self, theirs: &[Record], now: Instant) {
+        let known: HashMap<SocketAddr, &Record> = theirs.iter().map(|r| (r.peer, r)).collect();
+        let lacks = |r: &&Arc<Record>| {
+            let theirs = known.get(&r.peer);
+            r.health.is_alive() && theirs.is_none_or(|t| t.precedence() < r.precedence())
+        };
+        let lacking: Vec<SocketAddr> = self.table.records().filter(lacks).map(|r| r.peer).collect();
+        self.learn(theirs, now);
+        lacking.into_iter().for_each(|peer| self.spread_news(peer));
+    }
+
     /// Handles one datagram.
     pub fn receive(&mut self, from: SocketAddr, message: Message, now: Instant, out: &mut Outbox) {
         match message {
@@ -349,12 +377,20 @@
                 .flatten()
                 .filter_map(|r| r.target.as_ref());
             self.changed.extend(services.map(|t| t.service.clone()));
-            self.news.insert(record.peer, PASSES);
+            self.spread_news(record.peer);
             self.stale = true;
         }
         merged
     }
 
+    fn spread_news(&mut self, peer: SocketAddr) {
+        let more = match self.news.len() < NEWS_BUSY {
+            true => self.table.alive().max(1).ilog2(),
+            false => 0,
+        };
+        self.news.insert(peer, PASSES + more);
+    }
+
     fn note_health(&mut self, record: &Record, now: Instant) {
         self.suspects.remove(&record.peer);
         self.gone.remove(&record.peer);
@@ -383,7 +419,7 @@
         if claim.precedence() <= self.own.precedence() {
             // Whoever still believes an old claim is told the present record.
             if claim.health >= Health::Suspect {
-                self.news.insert(self.own.peer, PASSES);
+                self.spread_news(self.own.peer);
             }
             return;
         }
@@ -474,7 +510,7 @@
         if now < self.next_compare {
             return;
         }
-        self.next_compare = now + REPAIR_PERIOD;
+        self.next_compare = now + COMPARE_PERIOD;
         let marks = Box::new(*self.table.marks());
         out.push((from, Message::Compare { marks }));
     }
--- a/src/coordination/pick.rs
+++ b/src/coordination/pick.rs
@@ -30,6 +30,8 @@
 const REPORT_LIFE: Duration = Duration::from_millis(500);
 /// Time after which an unused target's history is dropped.
 const HISTORY: Duration = Duration::from_secs(300);
+/// Weight of the newest sample in a target's mean answer time.
+const MEAN_WEIGHT: f64 = 0.1;
 /// Factor on the load of a target whose node is suspect.
 const SUSPECT_PENALTY: f64 = 4.0;
 
@@ -37,8 +39,11 @@
 struct Stat {
     incarnation: Incarnation,
     in_flight: u32,
+    /// Attempts of other nodes that the gate reported.
     reported: u32,
     reported_at: Instant,
+    /// Mean time to an answer, in seconds; zero before the first.
+    mean: f64,
     first: Instant,
     used: Instant,
     failures: u32,
@@ -54,6 +59,7 @@
             in_flight: 0,
             reported: 0,
             reported_at: now,
+            mean: 0.0,
             first: now,
             used: now,
             failures: 0,
@@ -63,11 +69,24 @@
         }
     }
 
-    /// Attempts believed to be at the target: those of this node, or those reported if more.
+    /// Attempts believed to be at the target: this node's, and those of others as last reported.
     fn load(&self, now: Instant) -> f64 {
         let age = (now - self.reported_at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
         let reported = f64::from(self.reported) * (1.0 - age).max(0.0);
-        f64::from(self.in_flight).max(reported)
+        f64::from(self.in_flight) + reported
+    }
+
+    fn report(&mut self, load: u32, now: Instant) {
+        self.reported = load.saturating_sub(self.in_flight);
+        self.reported_at = now;
+    }
+
+    fn learn(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        if self.mean == 0.0 {
+            self.mean = took;
+        }
+        self.mean += (took - self.mean) * MEAN_WEIGHT;
     }
 
     /// Whether the target is out, or back on trial and already busy with one attempt.
@@ -83,8 +102,9 @@
 /// How an attempt went, as far as it tells of the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sign {
-    /// It answered; the gate reported this load.
-    Answered(u32),
+    /// It answered; the gate reported this load. The time is left out for bulk transfers, which
+    /// tell of their own size and not of the target.
+    Answered(u32, Option<Duration>),
     /// It refused; it is alive but has no room.
     Refused(u32),
     /// It could not be reached, or broke off.
@@ -151,15 +171,14 @@
         };
         stat.in_flight = stat.in_flight.saturating_sub(1);
         match sign {
-            Sign::Answered(load) => {
+            Sign::Answered(load, took) => {
                 stat.failures = 0;
-                stat.reported = load;
-                stat.reported_at = now;
+                took.into_iter().for_each(|t| stat.learn(t));
+                stat.report(load, now);
                 restore(stat);
             }
             Sign::Refused(load) => {
-                stat.reported = load;
-                stat.reported_at = now;
+                stat.report(load, now);
             }
             Sign::Abandoned => {}
             Sign::Failed => {
@@ -225,12 +244,22 @@
         let a = self.rng.usize(..pool.len());
         let b = (a + 1 + self.rng.usize(..pool.len() - 1)) % pool.len();
         let (a, b) = (pool[a], pool[b]);
-        if self.score(b, now) < self.score(a, now) {
+        let (slow_a, slow_b) = self.slowness(a, b);
+        if self.score(b, now) * slow_b < self.score(a, now) * slow_a {
             return Some(b);
         }
         Some(a)
     }
 
+    /// Mean answer times of two targets; alike until both are known.
+    fn slowness(&self, a: &Candidate, b: &Candidate) -> (f64, f64) {
+        let mean = |c: &Candidate| self.stats.get(&c.peer).map_or(0.0, |s| s.mean);
+        match (mean(a), mean(b)) {
+            (a, b) if a > 0.0 && b > 0.0 => (a, b),
+            _ => (1.0, 1.0),
+        }
+    }
+
     /// Share of the slots in use after one more attempt; lower is better.
     fn score(&self, c: &Candidate, now: Instant) -> f64 {
         let Some(stat) = self.stats.get(&c.peer) else {
--- a/src/experiment/convergence.rs
+++ b/src/experiment/convergence.rs
@@ -32,9 +32,9 @@
     pub joined: Duration,
     /// Time from acceptance until each change was in force everywhere, ascending.
     pub convergence: Vec<Duration>,
-    /// Control bytes a node sent and received in each idle second.
+    /// Control bytes a node sent in each idle second.
     pub idle_bytes: f64,
-    /// Control bytes a node sent and received for each change, beyond the idle ones.
+    /// Control bytes a node sent for each change, beyond the idle ones.
     pub change_bytes: f64,
     /// Wire bytes of the average delta.
     pub delta_bytes: f64,
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -151,11 +151,11 @@
         Some(began.elapsed())
     }
 
-    /// Control bytes of a kind, sent and received, over all nodes.
+    /// Control bytes of a kind sent by all nodes; what one sends another receives.
     pub fn control_bytes(&self, kind: &'static str) -> u64 {
         let sum = |n: &RunningNode<MemoryPlatform>| {
-            let (sent, received) = n.node().metrics().control_bytes(kind);
-            sent + received
+            let (sent, _) = n.node().metrics().control_bytes(kind);
+            sent
         };
         self.nodes.iter().map(sum).sum()
     }
--- a/src/experiment/picking.rs
+++ b/src/experiment/picking.rs
@@ -1,6 +1,6 @@
 //! Picking and limiting against plain ways, on the state machines alone and a virtual clock.
 //!
-//! One service of five targets with twelve slots each, four ingresses, open-loop arrivals.
+//! One service of five targets with twelve slots each, open-loop arrivals.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -22,7 +22,8 @@
 
 const TARGETS: usize = 5;
 const SLOTS: u32 = 12;
-const INGRESSES: usize = 4;
+/// Ingresses; few see most of the load themselves, many see little of it.
+const INGRESSES: [usize; 2] = [4, 200];
 const SERVICE: Duration = Duration::from_millis(20);
 const TIME: Duration = Duration::from_secs(60);
 const DEADLINE: Duration = Duration::from_secs(2);
@@ -79,6 +80,7 @@
 pub fn run(seed: u64) -> Report {
     let mut report = Report::new(&[
         "case",
+        "ingresses",
         "way",
         "answered",
         "refused",
@@ -86,13 +88,14 @@
         "lookup p99 ms",
         "bulk p99 ms",
     ]);
-    for case in CASES {
+    for (case, ingresses) in CASES.into_iter().flat_map(|c| INGRESSES.map(|n| (c, n))) {
         for way in [Way::TwoChoices, Way::RoundRobin, Way::LeastConnections] {
-            let mut world = World::new(case, way, seed);
+            let mut world = World::new(case, way, ingresses, seed);
             world.run();
             let ms = |h: &Histogram<u64>, q| rounded(h.value_at_quantile(q) as f64 / 1000.0);
             report.row(vec![
                 Value::from(case.name),
+                Value::from(ingresses),
                 Value::from(format!("{way:?}")),
                 Value::from(world.answered),
                 Value::from(world.refused),
@@ -133,7 +136,7 @@
 }
 
 impl World {
-    fn new(case: Case, way: Way, seed: u64) -> World {
+    fn new(case: Case, way: Way, ingresses: usize, seed: u64) -> World {
         let mut rng = fastrand::Rng::with_seed(seed);
         let now = Instant::now();
         let histogram = || Histogram::new(3).expect("three digits are valid");
@@ -142,9 +145,9 @@
             way,
             now,
             end: now + TIME,
-            pickers: (0..INGRESSES).map(|_| Picker::new(rng.fork())).collect(),
-            turns: (0..INGRESSES).collect(),
-            own: vec![[0; TARGETS]; INGRESSES],
+            pickers: (0..ingresses).map(|_| Picker::new(rng.fork())).collect(),
+            turns: (0..ingresses).collect(),
+            own: vec![[0; TARGETS]; ingresses],
             gates: (0..TARGETS)
                 .map(|_| Gate::new(Incarnation(1), SLOTS))
                 .collect(),
@@ -180,7 +183,7 @@
     }
 
     fn arrive(&mut self) {
-        let ingress = self.rng.usize(..INGRESSES);
+        let ingress = self.rng.usize(..self.pickers.len());
         let class = if self.rng.f64() < self.case.bulk {
             Class::Bulk
         } else {
@@ -255,7 +258,8 @@
             Class::Bulk => self.bulk.record(took).expect("grows as needed"),
             _ => self.lookups.record(took).expect("grows as needed"),
         }
-        self.leave(job, Sign::Answered(load));
+        let timed = (job.class != Class::Bulk).then(|| self.now - job.began);
+        self.leave(job, Sign::Answered(load, timed));
         self.wake(wakes);
     }
 
--- a/src/experiment/size.rs
+++ b/src/experiment/size.rs
@@ -27,6 +27,7 @@
         "apply us",
         "check us",
         "table build us",
+        "rebuild us",
         "refresh one us",
         "snapshot KiB wire",
         "snapshot KiB",
@@ -55,6 +56,8 @@
     let apply = timed(|| config.preview(&edits).digest());
     let check = timed(|| check_whole(&config).len());
     let build = timed(|| RoutingTable::build(&config, &members).version());
+    let next = config.preview(&edits);
+    let rebuild = timed(|| table.rebuild(&next, &members).version());
     let path = Path::new("guild/services/service-0").expect("a valid path");
     let refresh = timed(|| table.refresh(&members, [&path]).version());
     let wire = postcard::to_stdvec(&WireSnapshot::from(&config));
@@ -66,6 +69,7 @@
         micros(apply),
         micros(check),
         micros(build),
+        micros(rebuild),
         micros(refresh),
         kib(wire as u64),
         kib(with_config.saturating_sub(start)),
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::oneshot;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::{Node, lock};
@@ -14,21 +15,22 @@
 use crate::protocol::datagram::{DATAGRAM_MAX, Datagram, Opener};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::state::id::Version;
-use crate::state::routing::RoutingTable;
-use crate::state::snapshot::Snapshot;
+use crate::state::snapshot::{Delta, Snapshot};
 use crate::transport::link::ask;
 use crate::transport::platform::Platform;
 
 /// Interval between ticks of the state machines.
 const TICK: Duration = Duration::from_millis(50);
-/// Fleets up to this size announce a version to every member.
+/// In fleets up to this size a version that is known at first hand is announced to all.
 const ANNOUNCE_ALL: usize = 16;
 /// Peers of the own zone that a version is announced to, beside the ring's neighbours.
 const ANNOUNCE_ZONE: usize = 2;
 /// Peers of any zone that a version is announced to.
-const ANNOUNCE_ANY: usize = 2;
+const ANNOUNCE_ANY: usize = 1;
 /// Peers offered in place of silent ones at each tick.
 const SPARES: usize = 2;
+/// Time within which a fetch by datagram is answered, before TCP is used.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Ticks between the forgetting of unused targets.
 const FORGET_TICKS: u32 = 1200;
 
@@ -92,6 +94,13 @@
             Datagram::Acknowledge(version) => {
                 lock(&self.distribution).acknowledged(from, version);
             }
+            Datagram::Fetch { ticket, since } => self.answer_fetch(from, ticket, since),
+            Datagram::Fetched { ticket, deltas } => {
+                if let Some(waiter) = lock(&self.fetches).remove(&ticket) {
+                    // A waiter that gave up asks over TCP instead.
+                    let _ = waiter.send(deltas);
+                }
+            }
             Datagram::Member(message) => {
                 if let Some(version) = version_told(&message) {
                     lock(&self.distribution).hear(from, version, now, &mut actions);
@@ -124,34 +133,78 @@
         }
     }
 
+    /// Pulls by one datagram each way if the deltas fit, and by TCP if not.
     async fn pull(self: Arc<Self>, from: SocketAddr, since: Version, ticket: u64) {
+        let fetched = match since {
+            Version(0) => None,
+            _ => self.fetch(from, since, ticket).await,
+        };
+        let result = match fetched {
+            Some(deltas) => Pulled::Deltas(deltas),
+            None => self.pull_stream(from, since).await,
+        };
+        self.pulled(ticket, result, false);
+    }
+
+    async fn fetch(
+        &self,
+        from: SocketAddr,
+        since: Version,
+        ticket: u64,
+    ) -> Option<Vec<Arc<Delta>>> {
+        let (send, fetched) = oneshot::channel();
+        lock(&self.fetches).insert(ticket, send);
+        self.send(from, &Datagram::Fetch { ticket, since });
+        let deltas = tokio::time::timeout(FETCH_TIMEOUT, fetched).await;
+        lock(&self.fetches).remove(&ticket);
+        deltas.ok()?.ok()?
+    }
+
+    fn answer_fetch(&self, to: SocketAddr, ticket: u64, since: Version) {
+        let served = lock(&self.distribution).serve(since);
+        let deltas = match served {
+            Pulled::Deltas(deltas) => Some(deltas),
+            _ => None,
+        };
+        self.send(to, &Datagram::Fetched { ticket, deltas });
+    }
+
+    async fn pull_stream(&self, from: SocketAddr, since: Version) -> Pulled {
         let request = PeerRequest::Pull(since);
-        let result = match ask(&self.key, from, &request, PULL_TIMEOUT).await {
+        match ask(&self.key, from, &request, PULL_TIMEOUT).await {
             Ok((PeerReply::Pulled(pulled), moved)) => {
-                self.metrics.received(pulled_kind(&pulled), moved);
+                self.metrics.exchanged(pulled_kind(&pulled), moved);
                 pulled
             }
             _ => Pulled::Failed,
-        };
-        self.pulled(ticket, result);
+        }
     }
 
     async fn pull_platform(self: Arc<Self>, ticket: u64) {
         let result = self.read_newer().await.unwrap_or(Pulled::Failed);
-        self.pulled(ticket, result);
+        self.pulled(ticket, result, true);
     }
 
-    fn pulled(self: &Arc<Self>, ticket: u64, result: Pulled) {
-        let peers = self.announce_peers();
+    fn pulled(self: &Arc<Self>, ticket: u64, result: Pulled, first_hand: bool) {
+        let peers = self.announce_peers(first_hand);
         let mut actions = Actions::new();
         let now = Instant::now();
         lock(&self.distribution).pulled(ticket, result, &peers, now, &mut actions);
         self.execute(actions);
     }
 
-    /// Whom a new version is announced to.
-    pub(super) fn announce_peers(&self) -> Vec<SocketAddr> {
-        announce_peers(&mut lock(&self.members))
+    /// Whom a new version is announced to. A node that knows it at first hand starts the spread
+    /// in every zone; the others pass it on.
+    pub(super) fn announce_peers(&self, first_hand: bool) -> Vec<SocketAddr> {
+        let members = &mut lock(&self.members);
+        let mut peers = match first_hand {
+            true if members.table().alive() <= ANNOUNCE_ALL => members.peers().to_vec(),
+            true => start_peers(members),
+            false => relay_peers(members),
+        };
+        peers.sort_unstable();
+        peers.dedup();
+        peers
     }
 
     fn adopt(&self, snapshot: &Snapshot) {
@@ -160,7 +213,7 @@
         if snapshot.version() <= self.routing.load().version() {
             return;
         }
-        let table = RoutingTable::build(snapshot, members.table());
+        let table = self.routing.load().rebuild(snapshot, members.table());
         self.routing.store(Arc::new(table));
         drop(members);
         self.apply_target_settings();
@@ -213,39 +266,46 @@
             bytes
         };
         if bytes.len() > DATAGRAM_MAX {
-            return self.send_halves(to, datagram);
+            return self.send_smaller(to, datagram);
         }
         self.metrics.sent(datagram.kind(), bytes.len());
         // A full socket buffer drops the datagram, as the network would.
         let _ = self.udp.try_send_to(&bytes, to);
     }
 
-    /// Long names can make a batch of records too large for one datagram.
-    fn send_halves(&self, to: SocketAddr, datagram: &Datagram) {
-        let Datagram::Member(Message::News { records }) = datagram else {
-            return;
-        };
-        let (head, tail) = records.split_at(records.len() / 2);
-        for half in [head, tail] {
-            if !half.is_empty() && half.len() < records.len() {
-                let records = half.to_vec();
-                self.send(to, &Datagram::Member(Message::News { records }));
+    /// Long names or large deltas can make a datagram too large.
+    fn send_smaller(&self, to: SocketAddr, datagram: &Datagram) {
+        match datagram {
+            Datagram::Member(Message::News { records }) if records.len() > 1 => {
+                let (head, tail) = records.split_at(records.len() / 2);
+                for half in [head, tail] {
+                    let records = half.to_vec();
+                    self.send(to, &Datagram::Member(Message::News { records }));
+                }
+            }
+            Datagram::Fetched { ticket, .. } => {
+                let (ticket, deltas) = (*ticket, None);
+                self.send(to, &Datagram::Fetched { ticket, deltas });
             }
+            _ => {}
         }
     }
 }
 
-fn announce_peers(members: &mut Members) -> Vec<SocketAddr> {
-    if members.table().alive() <= ANNOUNCE_ALL {
-        return members.peers().to_vec();
-    }
+/// The ring's neighbours, some of the own zone, and one of each other zone.
+fn start_peers(members: &mut Members) -> Vec<SocketAddr> {
+    let mut peers = relay_peers(members);
+    peers.extend(members.sample_zone(ANNOUNCE_ZONE));
+    peers.extend(members.one_of_each_zone());
+    peers
+}
+
+/// The ring's neighbours, which no other way of spreading leaves out, and a random peer.
+fn relay_peers(members: &mut Members) -> Vec<SocketAddr> {
     let own = members.own();
     let ring = members.table().neighbours(&own.zone, &own.peer);
     let mut peers: Vec<SocketAddr> = ring.into_iter().flatten().collect();
-    peers.extend(members.sample_zone(ANNOUNCE_ZONE));
     peers.extend(members.sample(ANNOUNCE_ANY));
-    peers.sort_unstable();
-    peers.dedup();
     peers
 }
 
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -27,6 +27,7 @@
 use crate::protocol::headers::{ATTEMPTS_LEFT, DEADLINE, LOAD, Passport};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::state::id::AttemptId;
+use crate::state::object::Class;
 use crate::state::routing::{Candidate, RouteEntry, RoutingTable, ServiceEntry};
 use crate::transport::client::SendError;
 use crate::transport::http::{Endpoint, empty, full, full_body, read_body};
@@ -249,6 +250,9 @@
     }
 
     async fn forward(self: &Arc<Self>, call: &Call, target: &Candidate) -> (Ended, Sign) {
+        let began = Instant::now();
+        let is_bulk = call.route.route.class == Class::Bulk;
+        let timed = |began: Instant| (!is_bulk).then(|| began.elapsed());
         let passport = Passport {
             attempt: AttemptId(fastrand::u128(..)),
             incarnation: target.incarnation,
@@ -259,13 +263,13 @@
         let request = call.request();
         if target.peer == self.addresses.peers {
             let response = self.run_here(passport, request).await;
-            return understood(response);
+            return understood(response, timed(began));
         }
         let mut request = request;
         passport.write(&self.key, request.headers_mut());
         let sent = self.hop.send(target.gate, request);
         match tokio::time::timeout_at(call.deadline + GRACE, sent).await {
-            Ok(Ok(response)) => understood(response),
+            Ok(Ok(response)) => understood(response, timed(began)),
             Ok(Err(SendError::NotSent)) => {
                 let outcome = Outcome::NotRun(NotRun::Unreachable);
                 (Ended::Short(outcome), Sign::Failed)
@@ -437,14 +441,14 @@
 }
 
 /// Reads a gate's answer. Without the outcome header, something else listens at that address.
-fn understood(mut response: Response<Body>) -> (Ended, Sign) {
+fn understood(mut response: Response<Body>, took: Option<Duration>) -> (Ended, Sign) {
     let headers = response.headers();
     let load = number(headers, LOAD).unwrap_or(0) as u32;
     let text = headers.get(OUTCOME_HEADER).and_then(|v| v.to_str().ok());
     match text.and_then(Outcome::parse) {
         Some(Outcome::Answered) => {
             response.headers_mut().remove(LOAD);
-            (Ended::Answer(response), Sign::Answered(load))
+            (Ended::Answer(response), Sign::Answered(load, took))
         }
         Some(outcome @ Outcome::NotRun(NotRun::Unreachable)) => {
             (Ended::Short(outcome), Sign::Failed)
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -33,10 +33,10 @@
 const READY_POLL: Duration = Duration::from_millis(10);
 /// Time after which a round starts over when the configuration has not come.
 const READY_PATIENCE: Duration = Duration::from_secs(3);
-/// Interval between comparisons of a joined node's table with the watcher slots.
-const REJOIN_PERIOD: Duration = Duration::from_secs(10);
-/// Interval between looks for peers while this node knows of none.
-const ALONE_PERIOD: Duration = Duration::from_secs(1);
+/// Longest interval between comparisons of a joined node's table with the watcher slots.
+const REJOIN_MAX: Duration = Duration::from_secs(10);
+/// The same interval just after joining, and while the table grows or holds this node alone.
+const REJOIN_MIN: Duration = Duration::from_secs(1);
 
 /// What a round of joining found.
 struct Found {
@@ -102,11 +102,11 @@
         let (PeerReply::Table(records, version), moved) = reply.ok()? else {
             return None;
         };
-        self.metrics.received("join", moved);
+        self.metrics.exchanged("join", moved);
         let now = Instant::now();
         let incarnation = {
             let mut members = lock(&self.members);
-            members.learn(&records, now);
+            members.exchange(&records, now);
             members.own().incarnation
         };
         lock(&self.gate).gate.set_incarnation(incarnation);
@@ -155,13 +155,20 @@
     /// Watchers compare their table with the slots, so that fleets that were apart merge again. A
     /// node that knows of no other does too: a whole fleet may have started at one moment.
     async fn rejoin_loop(self: &Arc<Self>) {
+        let mut period = REJOIN_MIN;
         loop {
-            let alone = self.members_alive() <= 1;
-            tokio::time::sleep(if alone { ALONE_PERIOD } else { REJOIN_PERIOD }).await;
+            tokio::time::sleep(period).await;
             sleep_up_to(self.settings.join_jitter).await;
-            if alone || lock(&self.slots).held(Instant::now()).is_some() {
+            let before = self.members_alive();
+            if before <= 1 || lock(&self.slots).held(Instant::now()).is_some() {
                 self.join_holders().await;
             }
+            let grew = self.members_alive() > before;
+            period = if before <= 1 || grew {
+                REJOIN_MIN
+            } else {
+                (period * 2).min(REJOIN_MAX)
+            };
         }
     }
 
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::coordination::outcome::Outcome;
 use crate::state::object::Class;
+use crate::transport::link::Moved;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -116,6 +117,12 @@
         self.moved(kind, "received", bytes);
     }
 
+    /// Counts the bytes of a request to a peer and its reply.
+    pub fn exchanged(&self, kind: &'static str, moved: Moved) {
+        self.sent(kind, moved.sent);
+        self.received(kind, moved.received);
+    }
+
     /// Control bytes sent and received of a kind so far.
     pub fn control_bytes(&self, kind: &'static str) -> (u64, u64) {
         let read = |direction| {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,7 +1,7 @@
 //! The node: the daemon's tasks around the state machines.
 //!
 //! Shared tables are locked in the order of the fields of [`Node`]: members, distribution, slots,
-//! gate, picker, retries, sender. A lock is never held across an await.
+//! gate, health, picker, retries, sender, fetches. A lock is never held across an await.
 
 mod api;
 mod claims;
@@ -17,6 +17,7 @@
 mod target;
 mod watch;
 
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -25,7 +26,7 @@
 
 use arc_swap::ArcSwap;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{Semaphore, watch as signal};
+use tokio::sync::{Semaphore, oneshot, watch as signal};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -43,7 +44,7 @@
 use crate::state::id::{Incarnation, Version};
 use crate::state::member::{Beside, Health, Record};
 use crate::state::routing::RoutingTable;
-use crate::state::snapshot::Snapshot;
+use crate::state::snapshot::{Delta, Snapshot};
 use crate::transport::client::HttpClient;
 use crate::transport::http::{ServeLimits, serve};
 use crate::transport::platform::Platform;
@@ -74,6 +75,9 @@
     pub admin: SocketAddr,
 }
 
+/// Fetches by datagram that wait for their answers, by ticket.
+type Fetches = HashMap<u64, oneshot::Sender<Option<Vec<Arc<Delta>>>>>;
+
 struct Sender {
     sealer: Sealer,
     budget: ByteBudget,
@@ -95,6 +99,7 @@
     picker: Mutex<Picker>,
     retries: Mutex<RetryBudget>,
     sender: Mutex<Sender>,
+    fetches: Mutex<Fetches>,
     udp: UdpSocket,
     /// Client for the gates of other nodes.
     hop: HttpClient,
@@ -234,6 +239,7 @@
             picker: Mutex::new(Picker::new(rng.fork())),
             retries: Mutex::new(RetryBudget::default()),
             sender: Mutex::new(sender),
+            fetches: Mutex::new(Fetches::new()),
             udp,
             hop: HttpClient::default(),
             local: HttpClient::default(),
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -244,7 +244,7 @@
             }
             return;
         };
-        let peers = self.announce_peers();
+        let peers = self.announce_peers(true);
         let mut actions = Actions::new();
         lock(&self.distribution).offer(
             snapshot.clone(),
--- a/src/protocol/datagram.rs
+++ b/src/protocol/datagram.rs
@@ -2,14 +2,16 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use super::key::{FleetKey, MAC_BYTES};
-use super::wire::{WireError, WireRecord, convert};
+use super::wire::{WireDelta, WireError, WireRecord, convert};
 use crate::coordination::members::{Brief, Message, RECORDS_PER_DATAGRAM};
 use crate::state::id::{Incarnation, Version};
 use crate::state::member::{Record, TABLE_BUCKETS};
+use crate::state::snapshot::Delta;
 
 /// Largest datagram sent or taken, in bytes.
 pub const DATAGRAM_MAX: usize = 1400;
@@ -23,6 +25,20 @@
     Announce(Version),
     /// The sender has heard of this version.
     Acknowledge(Version),
+    /// Asks for the deltas after a version.
+    Fetch {
+        /// Matches the answer to the question.
+        ticket: u64,
+        /// The version held.
+        since: Version,
+    },
+    /// Answers a fetch; none when they do not fit into a datagram.
+    Fetched {
+        /// The question that is answered.
+        ticket: u64,
+        /// The deltas, oldest first.
+        deltas: Option<Vec<Arc<Delta>>>,
+    },
 }
 
 impl Datagram {
@@ -30,6 +46,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Datagram::Announce(_) | Datagram::Acknowledge(_) => "announce",
+            Datagram::Fetch { .. } | Datagram::Fetched { .. } => "delta",
             Datagram::Member(Message::News { .. }) => "member",
             Datagram::Member(Message::Compare { .. }) => "repair",
             Datagram::Member(_) => "probe",
@@ -54,6 +71,8 @@
     News(Vec<WireRecord>),
     Announce(u64),
     Acknowledge(u64),
+    Fetch(u64, u64),
+    Fetched(u64, Option<Vec<WireDelta>>),
 }
 
 impl From<&Datagram> for Body {
@@ -61,6 +80,11 @@
         match d {
             Datagram::Announce(v) => Body::Announce(v.0),
             Datagram::Acknowledge(v) => Body::Acknowledge(v.0),
+            Datagram::Fetch { ticket, since } => Body::Fetch(*ticket, since.0),
+            Datagram::Fetched { ticket, deltas } => {
+                let wires = |d: &Vec<Arc<Delta>>| d.iter().map(|d| (&**d).into()).collect();
+                Body::Fetched(*ticket, deltas.as_ref().map(wires))
+            }
             Datagram::Member(m) => m.into(),
         }
     }
@@ -98,6 +122,21 @@
         Ok(match body {
             Body::Announce(v) => Datagram::Announce(Version(v)),
             Body::Acknowledge(v) => Datagram::Acknowledge(Version(v)),
+            Body::Fetch(ticket, since) => Datagram::Fetch {
+                ticket,
+                since: Version(since),
+            },
+            Body::Fetched(ticket, None) => Datagram::Fetched {
+                ticket,
+                deltas: None,
+            },
+            Body::Fetched(ticket, Some(wires)) => {
+                let deltas: Vec<Delta> = convert(wires)?;
+                Datagram::Fetched {
+                    ticket,
+                    deltas: Some(deltas.into_iter().map(Arc::new).collect()),
+                }
+            }
             Body::Ping(sequence, version, table, wires) => Datagram::Member(Message::Ping {
                 sequence,
                 brief: brief(version, table),
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -188,6 +188,11 @@
         self.zones.get(zone)
     }
 
+    /// All zones with their live addresses.
+    pub fn zones(&self) -> impl Iterator<Item = (&Arc<str>, &BTreeSet<SocketAddr>)> {
+        self.zones.iter()
+    }
+
     /// Records of a service's live targets, in address order.
     pub fn service(&self, service: &Path) -> impl Iterator<Item = &Arc<Record>> {
         let peers = self.services.get(service).into_iter().flatten();
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -73,6 +73,12 @@
 impl RoutingTable {
     /// Joins a configuration with the known targets.
     pub fn build(config: &Snapshot, members: &MemberTable) -> RoutingTable {
+        RoutingTable::default().rebuild(config, members)
+    }
+
+    /// Joins a newer configuration with the known targets. Services whose settings are the same
+    /// keep their candidates; [`RoutingTable::refresh`] follows the members.
+    pub fn rebuild(&self, config: &Snapshot, members: &MemberTable) -> RoutingTable {
         let mut index = RouteIndex::default();
         let mut services = HashMap::new();
         for e in config.entries() {
@@ -92,9 +98,14 @@
             index: Arc::new(index),
             services: HashMap::new(),
         };
+        let same_targets = self.index.targets == table.index.targets;
         for (path, settings) in services {
-            let entry = table.join(&path, settings, members);
-            table.services.insert(path, Arc::new(entry));
+            let held = self.services.get(&path);
+            let entry = match held.filter(|e| same_targets && e.settings == settings) {
+                Some(held) => held.clone(),
+                None => Arc::new(table.join(&path, settings, members)),
+            };
+            table.services.insert(path, entry);
         }
         table
     }
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use serde::{Deserialize, Deserializer, de};
+use serde::{Deserialize, de};
 
 use super::id::Path;
 use super::object::{Class, Idempotency, Object, Route, Service, TargetSettings, Team};
@@ -181,8 +181,11 @@
     let head: Head = serde_yaml_ng::from_str(doc)
         .map_err(|e| problem(line_of(&e, blank), "-", message_of(&e)))?;
     let shown = head.path.clone().unwrap_or_else(|| "-".to_string());
-    let object = read_object(head.kind.as_deref(), doc)
-        .map_err(|e| problem(line_of(&e, blank), &shown, message_of(&e)))?;
+    let object = read_object(head.kind.as_deref(), doc).map_err(|e| {
+        let message = message_of(&e);
+        let field = line_of_field(doc, &message).unwrap_or(blank);
+        problem(line_of(&e, field), &shown, message)
+    })?;
     let path = Path::new(&shown).map_err(|e| problem(blank, &shown, e.to_string()))?;
     let object = std::sync::Arc::new(object);
     Ok(Located {
@@ -217,6 +220,16 @@
     e.location().map_or(otherwise, |l| l.line() - 1)
 }
 
+/// The line of the field that a message begins with.
+fn line_of_field(doc: &str, message: &str) -> Option<usize> {
+    let name = message.split(' ').next()?;
+    let named = |line: &str| {
+        line.strip_prefix(name)
+            .is_some_and(|rest| rest.starts_with(':'))
+    };
+    doc.lines().position(named)
+}
+
 /// The message without the position, which counts from the document and not from the file.
 fn message_of(e: &serde_yaml_ng::Error) -> String {
     let text = e.to_string();
@@ -262,8 +275,7 @@
     service: String,
     slots: u32,
     connections: Option<u32>,
-    #[serde(default, deserialize_with = "duration")]
-    ramp: Option<Duration>,
+    ramp: Option<String>,
     #[serde(default)]
     drained: bool,
 }
@@ -281,17 +293,16 @@
     methods: Vec<String>,
     service: String,
     class: Option<String>,
-    #[serde(default, deserialize_with = "duration")]
-    deadline: Option<Duration>,
+    deadline: Option<String>,
     attempts: Option<u8>,
     idempotent: Option<String>,
     #[serde(default)]
     keyed: bool,
 }
 
-fn duration<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Duration>, D::Error> {
-    let text = String::deserialize(d)?;
-    parse_duration(&text).map(Some).map_err(de::Error::custom)
+fn duration(name: &str, text: Option<&str>, default: Duration) -> Result<Duration, String> {
+    let parsed = text.map_or(Ok(default), parse_duration);
+    parsed.map_err(|e| format!("{name} {e}"))
 }
 
 impl TryFrom<RawTeam> for Team {
@@ -335,7 +346,7 @@
 
     fn try_from(raw: RawTarget) -> Result<TargetSettings, String> {
         let connections = raw.connections.unwrap_or(raw.slots.saturating_mul(2));
-        let ramp = raw.ramp.unwrap_or(RAMP_DEFAULT);
+        let ramp = duration("ramp", raw.ramp.as_deref(), RAMP_DEFAULT)?;
         within("slots", raw.slots, 1, SLOTS_MAX)?;
         within("connections", connections, raw.slots, CONNECTIONS_MAX)?;
         at_most("ramp", ramp, RAMP_MAX)?;
@@ -353,7 +364,7 @@
     type Error = String;
 
     fn try_from(raw: RawRoute) -> Result<Route, String> {
-        let deadline = raw.deadline.unwrap_or(DEADLINE_DEFAULT);
+        let deadline = duration("deadline", raw.deadline.as_deref(), DEADLINE_DEFAULT)?;
         let attempts = raw.attempts.unwrap_or(ATTEMPTS_DEFAULT);
         if !raw.prefix.starts_with('/') {
             return Err(format!(
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -14,7 +14,16 @@
 /// Time within which the accepting side must have the whole request.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Asks a peer, and waits for the reply. Returns the reply and the bytes moved both ways.
+/// Bytes that an exchange moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Moved {
+    /// From the asking to the accepting side.
+    pub sent: usize,
+    /// From the accepting to the asking side.
+    pub received: usize,
+}
+
+/// Asks a peer, and waits for the reply.
 ///
 /// # Errors
 /// Any socket error, a reply that is not authentic or understood, and a time-out.
@@ -23,7 +32,7 @@
     peer: SocketAddr,
     request: &PeerRequest,
     wait: Duration,
-) -> io::Result<(PeerReply, usize)> {
+) -> io::Result<(PeerReply, Moved)> {
     tokio::time::timeout(wait, ask_now(key, peer, request))
         .await
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
@@ -33,7 +42,7 @@
     key: &FleetKey,
     peer: SocketAddr,
     request: &PeerRequest,
-) -> io::Result<(PeerReply, usize)> {
+) -> io::Result<(PeerReply, Moved)> {
     let mut stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
     let mut nonce = [0; NONCE_BYTES];
@@ -42,7 +51,10 @@
     let frame = frame.map_err(io::Error::other)?;
     stream.write_all(&frame).await?;
     let body = receive(&mut stream, &mut Lane::reply(key, nonce)).await?;
-    let moved = NONCE_BYTES + frame.len() + HEADER_BYTES + body.len();
+    let moved = Moved {
+        sent: frame.len(),
+        received: NONCE_BYTES + HEADER_BYTES + body.len(),
+    };
     let reply = PeerReply::decode(&body).map_err(io::Error::other)?;
     Ok((reply, moved))
 }
@@ -81,7 +93,7 @@
 }
 
 impl Asked {
-    /// Sends the reply. Returns its bytes.
+    /// Sends the reply. Returns the bytes sent, the nonce included.
     ///
     /// # Errors
     /// Any socket error.
@@ -89,7 +101,7 @@
         let frame = self.lane.seal(&reply.encode()).map_err(io::Error::other)?;
         self.stream.write_all(&frame).await?;
         self.stream.shutdown().await?;
-        Ok(frame.len())
+        Ok(NONCE_BYTES + frame.len())
     }
 }
 
--- a/tests/fuzz_members.rs
+++ b/tests/fuzz_members.rs
@@ -99,7 +99,7 @@
         };
         self.nodes[through].machine.learn(&[own], now);
         let records = table(&self.nodes[through]);
-        self.nodes[newcomer].machine.learn(&records, now);
+        self.nodes[newcomer].machine.exchange(&records, now);
     }
 
     fn restart(&mut self, n: usize) {
--- /dev/null
+++ b/tests/test_pick.rs
@@ -0,0 +1,178 @@
+//! Picking and retrying: zones, ramp, ejection and its cap, slow return, and retry budgets.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tarragoncourse::coordination::outcome::{Doubt, NotRun, Outcome};
+use tarragoncourse::coordination::pick::{Picker, Sign};
+use tarragoncourse::coordination::retry::{Next, RetryBudget, Trial, after};
+use tarragoncourse::state::id::Incarnation;
+use tarragoncourse::state::member::Health;
+use tarragoncourse::state::routing::Candidate;
+use tokio::time::Instant;
+
+fn candidate(n: u8, zone: &str, health: Health) -> Candidate {
+    let peer = SocketAddr::from(([10, 0, 0, n], 7000));
+    Candidate {
+        peer,
+        gate: peer,
+        incarnation: Incarnation(1),
+        zone: zone.into(),
+        health,
+        slots: 10,
+        ramp: Duration::from_secs(10),
+    }
+}
+
+fn picker() -> Picker {
+    Picker::new(fastrand::Rng::with_seed(1))
+}
+
+fn answered() -> Sign {
+    Sign::Answered(0, Some(Duration::from_millis(1)))
+}
+
+/// Picks many times, each ended at once with an answer; counts by target.
+fn spread(p: &mut Picker, c: &[Candidate], zone: &str, now: Instant) -> HashMap<SocketAddr, u32> {
+    let mut counts = HashMap::new();
+    for _ in 0..1000 {
+        let peer = p.pick(c, zone, &[], now).expect("a target").peer;
+        p.done(peer, answered(), c, now);
+        *counts.entry(peer).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn the_own_zone_goes_first_until_it_is_loaded() {
+    let now = Instant::now();
+    let c = [
+        candidate(1, "a", Health::Ready),
+        candidate(2, "b", Health::Ready),
+    ];
+    let mut p = picker();
+    assert_eq!(spread(&mut p, &c, "a", now).get(&c[0].peer), Some(&1000));
+    // Eight attempts fill the near target to the spill share; the next goes elsewhere.
+    let picked: Vec<_> = (0..12)
+        .map(|_| p.pick(&c, "a", &[], now).expect("a target").peer)
+        .collect();
+    assert!(picked.iter().take(7).all(|peer| *peer == c[0].peer));
+    assert!(picked.contains(&c[1].peer));
+}
+
+#[test]
+fn a_cold_target_gets_a_growing_share() {
+    let now = Instant::now();
+    let c: Vec<_> = (1..=2)
+        .map(|n| candidate(n, "a", if n == 1 { Health::Cold } else { Health::Ready }))
+        .collect();
+    let mut p = picker();
+    // Attempts that last show the share: the cold target takes fewer at once.
+    let hold = |p: &mut Picker, now| {
+        let picked: Vec<_> = (0..10)
+            .map(|_| p.pick(&c, "a", &[], now).expect("a target").peer)
+            .collect();
+        let cold = picked.iter().filter(|peer| **peer == c[0].peer).count();
+        picked
+            .into_iter()
+            .for_each(|peer| p.done(peer, Sign::Abandoned, &c, now));
+        cold
+    };
+    let first = hold(&mut p, now);
+    let later = hold(&mut p, now + Duration::from_secs(9));
+    assert!(first <= 1, "{first} of 10 while cold");
+    assert!(later >= 4, "{later} of 10 when nearly warm");
+}
+
+#[test]
+fn failing_targets_are_ejected_up_to_a_share_and_come_back_slowly() {
+    let mut now = Instant::now();
+    let c: Vec<_> = (1..=6).map(|n| candidate(n, "a", Health::Ready)).collect();
+    let mut p = picker();
+    spread(&mut p, &c, "a", now);
+    for target in &c {
+        (0..5).for_each(|_| p.done(target.peer, Sign::Failed, &c, now));
+    }
+    let out = c.iter().filter(|t| p.is_ejected(&t.peer, now)).count();
+    assert_eq!(out, 3, "no more than the share is out");
+    let counts = spread(&mut p, &c, "a", now);
+    assert!(
+        c.iter()
+            .filter(|t| p.is_ejected(&t.peer, now))
+            .all(|t| !counts.contains_key(&t.peer))
+    );
+    // Back on trial: one attempt at a time.
+    now += Duration::from_secs(2);
+    let back = c
+        .iter()
+        .find(|t| t.peer == c[0].peer)
+        .expect("ejected first")
+        .peer;
+    let only: Vec<_> = c.iter().filter(|t| t.peer == back).cloned().collect();
+    assert_eq!(p.pick(&only, "a", &[], now).map(|t| t.peer), Some(back));
+    let others: Vec<_> = (0..50)
+        .map(|_| p.pick(&c, "a", &[], now).expect("a target").peer)
+        .collect();
+    assert!(!others.contains(&back), "a second attempt during the trial");
+}
+
+#[test]
+fn a_slow_target_gets_less() {
+    let now = Instant::now();
+    let c: Vec<_> = (1..=2).map(|n| candidate(n, "a", Health::Ready)).collect();
+    let mut p = picker();
+    for _ in 0..100 {
+        let peer = p.pick(&c, "a", &[], now).expect("a target").peer;
+        let took = Duration::from_millis(if peer == c[0].peer { 80 } else { 20 });
+        p.done(peer, Sign::Answered(0, Some(took)), &c, now);
+    }
+    let picked: Vec<_> = (0..10)
+        .map(|_| p.pick(&c, "a", &[], now).expect("a target").peer)
+        .collect();
+    assert!(
+        picked.iter().filter(|peer| **peer == c[0].peer).count() <= 3,
+        "{picked:?}"
+    );
+}
+
+#[test]
+fn only_evidence_permits_a_retry() {
+    let now = Instant::now();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut next = |outcome, idempotent, replayable, made| {
+        let trial = Trial {
+            idempotent,
+            replayable,
+            made,
+            allowed: 3,
+            deadline: now + Duration::from_secs(1),
+        };
+        let decided = after(outcome, trial, &mut RetryBudget::default(), &mut rng, now);
+        matches!(decided, Next::Retry(_))
+    };
+    let not_run = Outcome::NotRun(NotRun::Unreachable);
+    let unknown = Outcome::Unknown(Doubt::LinkBroken);
+    assert!(next(not_run, false, true, 1), "it did not run");
+    assert!(
+        !next(unknown, false, true, 1),
+        "it may have run, and must not run twice"
+    );
+    assert!(next(unknown, true, true, 1), "it may run twice");
+    assert!(!next(not_run, false, false, 1), "its body is gone");
+    assert!(!next(not_run, false, true, 3), "its attempts are used");
+    assert!(!next(Outcome::Answered, true, true, 1));
+    assert!(!next(Outcome::NotRun(NotRun::Deadline), true, true, 1));
+}
+
+#[test]
+fn retries_stay_within_a_share_of_answers() {
+    let mut budget = RetryBudget::default();
+    while budget.spend() {}
+    let mut granted = 0;
+    for _ in 0..1000 {
+        budget.earn();
+        granted += u32::from(budget.spend());
+    }
+    assert!(granted <= 100, "{granted} retries for 1000 answers");
+}
