Claims paced by shard, tables exchanged whole, bounded joins and bodies

Cause and change: - keyed requests cost two platform writes each (1,502 writes/s at 800 keyed/s, over the several hundred that the platform takes): batches lingered 3 ms and hardly filled. Now one write a shard under way, 50 ms apart, outcomes wait up to 250 ms for a claim to ride with. Now one table, others are asked for their version only, and a busy peer names others. - tables that differ in many buckets are exchanged whole over TCP, less often the larger they are; datagrams of news alone needed 34 s for 512 nodes to agree from a cold start, and 1,000 did not within 60 s. - kept bodies have a bound over all requests (64 MiB), where 10,000 callers could have taken 640 MB. - a lost zone swallows packets: connects give up after 300 ms, and written bytes may stay unacknowledged for 2 s. Ruled out: 64 shards (batches stay almost empty), a longer linger for all.

--- a/src/coordination/claims.rs
+++ b/src/coordination/claims.rs
@@ -8,12 +8,13 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use tokio::time::Instant;
 
 use crate::state::digest::Feed;
 use crate::state::id::AttemptId;
 
 /// Number of books that keys are spread over.
-pub const SHARDS: u64 = 64;
+pub const SHARDS: u64 = 16;
 /// Time for which a key is remembered.
 pub const WINDOW: Duration = Duration::from_secs(600);
 /// Most entries in one book; keeps its value under the platform's megabyte.
@@ -149,6 +150,70 @@
     }
 }
 
+/// Shortest time between two writes of one shard. With the number of shards it bounds the
+/// platform's writes, whatever the number of requests: 320 each second.
+pub const WRITE_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which an outcome waits for a claim to be written with.
+pub const SETTLE_WAIT: Duration = Duration::from_millis(250);
+
+impl Wish {
+    /// Whether a request waits for the verdict.
+    pub fn is_urgent(&self) -> bool {
+        matches!(self, Wish::Claim(..))
+    }
+}
+
+/// Paces the writes of one shard.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pacer {
+    last: Option<Instant>,
+    urgent: Option<Instant>,
+    settling: Option<Instant>,
+}
+
+impl Pacer {
+    /// A wish was handed in.
+    pub fn entered(&mut self, wish: &Wish, now: Instant) {
+        match wish.is_urgent() {
+            true => self.urgent.get_or_insert(now),
+            false => self.settling.get_or_insert(now + SETTLE_WAIT),
+        };
+    }
+
+    /// When the next write is due, if there is anything to write.
+    ///
+    /// ```
+    /// use tarragoncourse::coordination::claims::{KeyHash, Pacer, WRITE_INTERVAL, Wish};
+    /// use tarragoncourse::state::id::AttemptId;
+    /// use tokio::time::Instant;
+    ///
+    /// let now = Instant::now();
+    /// let claim = Wish::Claim(KeyHash(1), AttemptId(1));
+    /// let mut pacer = Pacer::default();
+    /// pacer.entered(&claim, now);
+    /// assert_eq!(pacer.due(), Some(now));
+    /// pacer.written(now);
+    /// pacer.entered(&claim, now);
+    /// assert_eq!(pacer.due(), Some(now + WRITE_INTERVAL));
+    /// ```
+    pub fn due(&self) -> Option<Instant> {
+        let wanted = match (self.urgent, self.settling) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        let free = self.last.map(|l| l + WRITE_INTERVAL);
+        wanted.map(|w| free.map_or(w, |f| f.max(w)))
+    }
+
+    /// Everything handed in is being written.
+    pub fn written(&mut self, now: Instant) {
+        *self = Pacer {
+            last: Some(now),
+            ..Pacer::default()
+        };
+    }
+}
+
 /// What to do next with a batch.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BatchStep {
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -28,6 +28,10 @@
 pub const COMPARE_PERIOD: Duration = Duration::from_secs(2);
 /// Peers asked to probe on this node's behalf.
 const INDIRECT_PROBES: usize = 3;
+/// Differing buckets from which two tables are exchanged whole.
+const BUCKETS_FOR_EXCHANGE: usize = 16;
+/// Records for which an exchange waits one second longer; bounds its bytes to about 64 KB/s.
+const RECORDS_PER_SECOND: usize = 1000;
 /// Records in one datagram; keeps it under a common MTU of 1,400 bytes.
 pub const RECORDS_PER_DATAGRAM: usize = 10;
 /// Times a record is passed on, less one for each time it is heard again, beyond the logarithm
@@ -146,6 +150,8 @@
     next_news: Instant,
     next_repair: Instant,
     next_compare: Instant,
+    next_exchange: Instant,
+    exchange_with: Option<SocketAddr>,
     last_tick: Instant,
     counts: MemberCounts,
 }
@@ -176,6 +182,8 @@
             next_news: now,
             next_repair: now + spread,
             next_compare: now,
+            next_exchange: now,
+            exchange_with: None,
             last_tick: now,
             counts: MemberCounts::default(),
         }
@@ -264,7 +272,15 @@
         };
         let lacking: Vec<SocketAddr> = self.table.records().filter(lacks).map(|r| r.peer).collect();
         self.learn(theirs, now);
-        lacking.into_iter().for_each(|peer| self.spread_news(peer));
+        // The peer asks for the whole itself when it lacks much.
+        if lacking.len() < NEWS_BUSY {
+            lacking.into_iter().for_each(|peer| self.spread_news(peer));
+        }
+    }
+
+    /// A peer whose whole table is to be asked for, if one is due.
+    pub fn take_exchange(&mut self) -> Option<SocketAddr> {
+        self.exchange_with.take()
     }
 
     /// Handles one datagram.
@@ -294,6 +310,7 @@
             Message::Compare { marks } => {
                 self.answer_compare(from, &marks, out);
                 self.offer_compare(from, now, out);
+                self.plan_exchange(from, &marks, now);
             }
             Message::News { records } => {
                 self.learn(&records, now);
@@ -525,6 +542,18 @@
         }
     }
 
+    /// Tables that differ in many places are exchanged whole, less often the larger they are.
+    fn plan_exchange(&mut self, with: SocketAddr, marks: &[u64; TABLE_BUCKETS], now: Instant) {
+        let pairs = self.table.marks().iter().zip(marks);
+        let differing = pairs.filter(|(a, b)| a != b).count();
+        if differing < BUCKETS_FOR_EXCHANGE || now < self.next_exchange {
+            return;
+        }
+        let pause = Duration::from_secs((self.table.len() / RECORDS_PER_SECOND) as u64);
+        self.next_exchange = now + COMPARE_PERIOD + pause;
+        self.exchange_with = Some(with);
+    }
+
     fn notice_pause(&mut self, now: Instant) {
         let gap = now.saturating_duration_since(self.last_tick);
         self.last_tick = now;
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -35,6 +35,7 @@
 }
 
 /// A running fleet.
+#[derive(Default)]
 pub struct Fleet {
     /// The platform stand-in.
     pub platform: MemoryPlatform,
@@ -44,16 +45,6 @@
     pub targets: Vec<PlacedTarget>,
 }
 
-impl Default for Fleet {
-    fn default() -> Self {
-        Fleet {
-            platform: MemoryPlatform::default(),
-            nodes: Vec::new(),
-            targets: Vec::new(),
-        }
-    }
-}
-
 impl Fleet {
     /// Starts a target of a service and a node beside it.
     ///
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -5,19 +5,21 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use super::{Node, lock, wall_millis};
 use crate::coordination::claims::{
-    Batch, BatchEvent, BatchStep, Book, ClaimVerdict, KeyHash, Wish,
+    Batch, BatchEvent, BatchStep, Book, ClaimVerdict, KeyHash, Pacer, Wish,
 };
-use crate::protocol::peer::{PeerReply, PeerRequest, WISHES_MAX};
+use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::protocol::record::{book_key, decode_book, encode_book};
 use crate::state::member::Health;
 use crate::transport::link::ask;
 use crate::transport::platform::Platform;
 
-/// Time for which the first wish of a batch waits for others.
-const LINGER: Duration = Duration::from_millis(3);
+/// Longest sleep with nothing to write.
+const IDLE_WAIT: Duration = Duration::from_secs(1);
 /// Wishes that may wait to be batched.
 const QUEUE_MAX: usize = 4096;
 /// Time within which a shard's owner answers.
@@ -65,39 +67,77 @@
     }
 }
 
+impl Entered {
+    fn shard(&self) -> u64 {
+        key_of(&self.wish).shard()
+    }
+}
+
+/// Wishes of one shard that wait to be written.
+#[derive(Default)]
+struct Shard {
+    pacer: Pacer,
+    waiting: Vec<Entered>,
+    writing: bool,
+}
+
+impl Shard {
+    fn enter(&mut self, entered: Entered) {
+        self.pacer.entered(&entered.wish, Instant::now());
+        self.waiting.push(entered);
+    }
+
+    /// All waiting wishes, if a write is due and none is under way.
+    fn take(&mut self, now: Instant) -> Option<Vec<Entered>> {
+        if self.writing || self.pacer.due().is_none_or(|due| due > now) {
+            return None;
+        }
+        self.writing = true;
+        self.pacer.written(now);
+        Some(std::mem::take(&mut self.waiting))
+    }
+}
+
 impl<P: Platform> Node<P> {
+    /// Gathers wishes by shard and writes each shard when its pacer says so, one write at a time.
     pub(super) async fn claim_loop(self: Arc<Self>, mut wishes: WishReceiver) {
+        let mut shards: BTreeMap<u64, Shard> = BTreeMap::new();
+        let mut writing = JoinSet::new();
         loop {
-            let Some(first) = wishes.0.recv().await else {
-                return;
-            };
-            tokio::time::sleep(LINGER).await;
-            let mut shards: BTreeMap<u64, Vec<Entered>> = BTreeMap::new();
-            let mut next = Some(first);
-            let mut taken = 0;
-            while let Some(entered) = next {
-                let shard = key_of(&entered.wish).shard();
-                shards.entry(shard).or_default().push(entered);
-                taken += 1;
-                next = if taken < WISHES_MAX {
-                    wishes.0.try_recv().ok()
-                } else {
-                    None
-                };
-            }
-            for (shard, batch) in shards {
-                tokio::spawn(self.clone().write_batch(shard, batch));
+            let idle = shards.values().filter(|s| !s.writing);
+            let due = idle.filter_map(|s| s.pacer.due()).min();
+            let due = due.unwrap_or_else(|| Instant::now() + IDLE_WAIT);
+            tokio::select! {
+                entered = wishes.0.recv() => match entered {
+                    Some(entered) => shards.entry(entered.shard()).or_default().enter(entered),
+                    None => return,
+                },
+                Some(ended) = writing.join_next() => {
+                    if let Ok(shard) = ended {
+                        shards.entry(shard).or_default().writing = false;
+                    }
+                }
+                () = tokio::time::sleep_until(due) => {
+                    let now = Instant::now();
+                    for (number, shard) in &mut shards {
+                        if let Some(batch) = shard.take(now) {
+                            writing.spawn(self.clone().write_batch(*number, batch));
+                        }
+                    }
+                }
             }
         }
     }
 
-    async fn write_batch(self: Arc<Self>, shard: u64, batch: Vec<Entered>) {
+    async fn write_batch(self: Arc<Self>, shard: u64, batch: Vec<Entered>) -> u64 {
         let wishes = batch.iter().map(|e| e.wish).collect();
         let verdicts = self.drive_batch(shard, wishes).await;
         for (at, entered) in batch.into_iter().enumerate() {
             let verdict = verdicts.as_ref().map(|v| v[at]);
+            // A requester that went away needs no verdict.
             let _ = entered.reply.send(verdict);
         }
+        shard
     }
 
     async fn drive_batch(&self, shard: u64, wishes: Vec<Wish>) -> Verdicts {
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -111,6 +111,15 @@
             }
         }
         self.execute(actions);
+        self.exchange_if_due();
+    }
+
+    fn exchange_if_due(self: &Arc<Self>) {
+        let due = lock(&self.members).take_exchange();
+        if let Some(peer) = due {
+            let node = self.clone();
+            tokio::spawn(async move { node.exchange_with(peer).await });
+        }
     }
 
     pub(super) fn execute(self: &Arc<Self>, actions: Actions) {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -15,6 +15,7 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use smallvec::SmallVec;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 use super::gate::strip;
@@ -38,6 +39,8 @@
 const GRACE: Duration = Duration::from_millis(100);
 /// Time within which a gate answers a void.
 const VOID_TIMEOUT: Duration = Duration::from_millis(500);
+/// Unit in which memory for kept bodies is counted, in bytes.
+pub(super) const KEEP_UNIT_BYTES: u64 = 1024;
 /// Header with which a caller names a request that it may repeat.
 const KEY_HEADER: &str = "idempotency-key";
 /// Longest idempotency key, in bytes.
@@ -121,17 +124,26 @@
     }
 
     /// Keeps small bodies whole, so that the request can be sent again; streams the others.
-    async fn take_body(&self, headers: &HeaderMap, body: Body) -> io::Result<SharedBody> {
+    async fn take_body(
+        self: &Arc<Self>,
+        headers: &HeaderMap,
+        body: Body,
+    ) -> io::Result<SharedBody> {
         if body.is_end_stream() {
-            return Ok(SharedBody::Whole(Bytes::new()));
+            return Ok(SharedBody::Whole(Kept {
+                bytes: Bytes::new(),
+                _room: None,
+            }));
         }
         let length = number(headers, CONTENT_LENGTH.as_str());
-        match length {
-            Some(n) if n <= self.settings.replay_body => {
+        match length.and_then(|n| self.keep(n)) {
+            Some(room) => {
                 let most = self.settings.replay_body as usize;
-                Ok(SharedBody::Whole(read_body(body, most).await?))
+                let bytes = read_body(body, most).await?;
+                let _room = Some(room);
+                Ok(SharedBody::Whole(Kept { bytes, _room }))
             }
-            _ => {
+            None => {
                 let body = Mutex::new(Some(body));
                 let failed = AtomicBool::new(false);
                 Ok(SharedBody::Once(Arc::new(Upload { body, failed })))
@@ -139,6 +151,15 @@
         }
     }
 
+    /// Room to keep a body of this length whole; none for a large one, or while many are kept.
+    fn keep(self: &Arc<Self>, length: u64) -> Option<OwnedSemaphorePermit> {
+        if length > self.settings.replay_body {
+            return None;
+        }
+        let units = length.div_ceil(KEEP_UNIT_BYTES) as u32;
+        self.kept.clone().try_acquire_many_owned(units).ok()
+    }
+
     /// Claims the key before the request may run, and records what became of it.
     async fn serve_keyed(self: &Arc<Self>, call: &mut Call, key: KeyHash) -> Told {
         let claim = AttemptId(fastrand::u128(..));
@@ -345,11 +366,17 @@
 /// A request's body, opened once for each attempt.
 enum SharedBody {
     /// Held whole.
-    Whole(Bytes),
+    Whole(Kept),
     /// Streamed from the caller; gone once an attempt has read from it.
     Once(Arc<Upload>),
 }
 
+/// A body held whole, with its share of the memory for such bodies.
+struct Kept {
+    bytes: Bytes,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
 /// A caller's streamed body.
 struct Upload {
     body: Mutex<Option<Body>>,
@@ -360,8 +387,8 @@
 impl SharedBody {
     fn open(&self) -> Body {
         match self {
-            SharedBody::Whole(bytes) if bytes.is_empty() => Body::default(),
-            SharedBody::Whole(bytes) => full_body(bytes.clone()),
+            SharedBody::Whole(kept) if kept.bytes.is_empty() => Body::default(),
+            SharedBody::Whole(kept) => full_body(kept.bytes.clone()),
             SharedBody::Once(upload) => Body::new(StreamedBody {
                 upload: upload.clone(),
                 taken: None,
@@ -371,14 +398,14 @@
 
     fn is_replayable(&self) -> bool {
         match self {
-            SharedBody::Whole(_) => true,
+            SharedBody::Whole(..) => true,
             SharedBody::Once(upload) => lock(&upload.body).is_some(),
         }
     }
 
     fn has_failed(&self) -> bool {
         match self {
-            SharedBody::Whole(_) => false,
+            SharedBody::Whole(..) => false,
             SharedBody::Once(upload) => upload.failed.load(Ordering::Acquire),
         }
     }
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -1,5 +1,6 @@
 //! Joining the fleet: first peers, the member table, and a current configuration before serving.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -8,15 +9,18 @@
 use tokio::time::Instant;
 
 use super::{Node, lock};
-use crate::coordination::distribution::Actions;
+use crate::coordination::distribution::{Actions, Pulled};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::protocol::record::{SLOT_PREFIX, decode_slot};
 use crate::state::id::Version;
+use crate::state::member::Record;
 use crate::transport::link::ask;
 use crate::transport::platform::Platform;
 
-/// Peers asked for the member table in one round.
-const ASKED: usize = 3;
+/// Peers that answer in one round of joining.
+const ANSWERS: usize = 3;
+/// Peers asked in one round of joining.
+const ASKED: usize = 16;
 /// Time within which a peer sends its table.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest wait between rounds of joining.
@@ -46,6 +50,16 @@
     peers: (Version, usize),
 }
 
+/// What came of asking one peer.
+pub(super) enum Joined {
+    /// It answered with the newest version that it has heard of.
+    Heard(Version),
+    /// It serves as many as it may; these are others.
+    Busy(Vec<SocketAddr>),
+    /// It did not answer.
+    Silent,
+}
+
 impl<P: Platform> Node<P> {
     pub(super) async fn join_loop(self: Arc<Self>) {
         sleep_up_to(self.settings.join_jitter).await;
@@ -73,47 +87,76 @@
         self.wait_current(Found { head, peers }).await
     }
 
-    /// Learns the member table from a few of the known peers.
+    /// Learns the member table from one of the known peers, and the newest version that a few
+    /// have heard of. A busy peer names others, so that a herd spreads over the fleet.
     pub(super) async fn join_peers(
         self: &Arc<Self>,
         mut known: Vec<SocketAddr>,
     ) -> (Version, usize) {
-        known.sort_unstable();
-        known.dedup();
-        known.retain(|p| *p != self.addresses.peers);
         fastrand::shuffle(&mut known);
-        let (mut newest, mut answers) = (Version(0), 0);
-        for peer in known {
-            if let Some(version) = self.join_peer(peer).await {
-                newest = newest.max(version);
-                answers += 1;
+        let (mut newest, mut answers, mut asked) = (Version(0), 0, 0);
+        let mut seen = HashSet::from([self.addresses.peers]);
+        while let Some(peer) = known.pop() {
+            if !seen.insert(peer) {
+                continue;
+            }
+            asked += 1;
+            match self.join_peer(peer).await {
+                Joined::Heard(version) => {
+                    newest = newest.max(version);
+                    answers += 1;
+                }
+                Joined::Busy(others) => known.extend(others),
+                Joined::Silent => {}
             }
-            if answers == ASKED {
+            if answers == ANSWERS || asked == ASKED {
                 break;
             }
         }
         (newest, answers)
     }
 
-    async fn join_peer(self: &Arc<Self>, peer: SocketAddr) -> Option<Version> {
-        let record = lock(&self.members).own().clone();
-        let request = PeerRequest::Join(record);
-        let reply = ask(&self.key, peer, &request, JOIN_TIMEOUT).await;
-        let (PeerReply::Table(records, version), moved) = reply.ok()? else {
-            return None;
+    /// Exchanges tables with a peer that is not known yet; asks a known one for its version.
+    async fn join_peer(self: &Arc<Self>, peer: SocketAddr) -> Joined {
+        match self.knows(&peer) {
+            true => self.ask_peer(peer, PeerRequest::Held).await,
+            false => self.exchange_with(peer).await,
+        }
+    }
+
+    /// Exchanges whole member tables with a peer.
+    pub(super) async fn exchange_with(self: &Arc<Self>, peer: SocketAddr) -> Joined {
+        let own = lock(&self.members).own().clone();
+        self.ask_peer(peer, PeerRequest::Join(own)).await
+    }
+
+    async fn ask_peer(self: &Arc<Self>, peer: SocketAddr, request: PeerRequest) -> Joined {
+        let Ok((reply, moved)) = ask(&self.key, peer, &request, JOIN_TIMEOUT).await else {
+            return Joined::Silent;
         };
         self.metrics.exchanged("join", moved);
-        let now = Instant::now();
+        let version = match reply {
+            PeerReply::Table(records, version) => {
+                self.exchange(&records);
+                version
+            }
+            PeerReply::Held(held, wanted) => held.max(wanted),
+            PeerReply::Pulled(Pulled::Busy(others)) => return Joined::Busy(others),
+            _ => return Joined::Silent,
+        };
+        let mut actions = Actions::new();
+        lock(&self.distribution).hear(peer, version, Instant::now(), &mut actions);
+        self.execute(actions);
+        Joined::Heard(version)
+    }
+
+    fn exchange(&self, records: &[Record]) {
         let incarnation = {
             let mut members = lock(&self.members);
-            members.exchange(&records, now);
+            members.exchange(records, Instant::now());
             members.own().incarnation
         };
         lock(&self.gate).gate.set_incarnation(incarnation);
-        let mut actions = Actions::new();
-        lock(&self.distribution).hear(peer, version, now, &mut actions);
-        self.execute(actions);
-        Some(version)
     }
 
     /// Waits until the configuration is at least as new as what the round found. With the
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -59,6 +59,10 @@
 const FAREWELLS: usize = 16;
 /// Whole configurations or delta runs served at once.
 const PULLS_MAX: usize = 8;
+/// Member tables served at once.
+const JOINS_MAX: usize = 8;
+/// Memory for callers' bodies that are kept whole, in bytes.
+const KEPT_BYTES: usize = 64 << 20;
 /// Connections of operators at once.
 const ADMIN_CONNECTIONS: usize = 64;
 
@@ -107,6 +111,9 @@
     local: HttpClient,
     claims: ClaimQueue,
     pulls: Semaphore,
+    joins: Semaphore,
+    /// Memory for callers' bodies that are kept whole, in units.
+    kept: Arc<Semaphore>,
     metrics: Metrics,
     ready: AtomicBool,
     leaving: AtomicBool,
@@ -245,6 +252,10 @@
             local: HttpClient::default(),
             claims,
             pulls: Semaphore::new(PULLS_MAX),
+            joins: Semaphore::new(JOINS_MAX),
+            kept: Arc::new(Semaphore::new(
+                KEPT_BYTES / ingress::KEEP_UNIT_BYTES as usize,
+            )),
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -47,9 +47,13 @@
             return;
         };
         let kind = request_kind(&asked.request);
-        let permit = self.pulls.try_acquire();
+        let room = match &asked.request {
+            PeerRequest::Pull(_) => self.pulls.try_acquire().map(Some),
+            PeerRequest::Join(_) => self.joins.try_acquire().map(Some),
+            _ => Ok(None),
+        };
         let reply = match &asked.request {
-            PeerRequest::Pull(_) if permit.is_err() => self.busy(),
+            PeerRequest::Pull(_) | PeerRequest::Join(_) if room.is_err() => self.busy(),
             PeerRequest::Pull(since) => PeerReply::Pulled(lock(&self.distribution).serve(*since)),
             PeerRequest::Join(record) => self.admit(record),
             PeerRequest::Void {
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -13,7 +13,10 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 /// Time within which a connection must be made.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which written bytes may stay unacknowledged before the connection counts as broken:
+/// a lost zone swallows packets rather than refusing them.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Most unused connections kept to one address.
@@ -37,6 +40,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_tcp_user_timeout(Some(UNACKED_TIMEOUT));
         // The pool itself sends a request again when a kept connection proves closed before the
         // request was written to it: it then still holds the request whole.
         let client = Client::builder(TokioExecutor::new())
--- /dev/null
+++ b/tests/test_protocol.rs
@@ -0,0 +1,274 @@
+//! What comes from the wire: round trips, authentication, replays, bounds, and random bytes.
+
+#[path = "support/fuzz.rs"]
+mod fuzz;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbtest::arbitrary::Unstructured;
+use fuzz::{below, chance};
+use tarragoncourse::coordination::members::{Brief, Message};
+use tarragoncourse::protocol::datagram::{DATAGRAM_MAX, Datagram, Opener, Sealer};
+use tarragoncourse::protocol::frame::{HEADER_BYTES, Lane, REQUEST_MAX};
+use tarragoncourse::protocol::headers::Passport;
+use tarragoncourse::protocol::key::FleetKey;
+use tarragoncourse::protocol::peer::{PeerReply, PeerRequest};
+use tarragoncourse::protocol::wire::{WireError, WireObject, WireSnapshot};
+use tarragoncourse::state::id::{AttemptId, Incarnation, Path, Version};
+use tarragoncourse::state::member::{Beside, Health, Record};
+use tarragoncourse::state::object::{
+    Class, Idempotency, Object, Route, Service, TargetSettings, Team,
+};
+use tarragoncourse::state::settings::{parse, show};
+use tarragoncourse::state::snapshot::{Entry, Snapshot};
+
+fn key() -> FleetKey {
+    FleetKey::derive("a key of the tests")
+}
+
+fn address(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 7000))
+}
+
+fn record(n: u8) -> Record {
+    Record {
+        peer: address(n),
+        gate: 7001,
+        incarnation: Incarnation(1_796_000_000_000),
+        sequence: 3,
+        zone: "hamilton".into(),
+        health: Health::Ready,
+        watcher: n.is_multiple_of(2),
+        target: Some(Beside {
+            instance: format!("cutbook-{n}").into(),
+            service: Path::new("guild/services/cutbook").unwrap(),
+            slots: 16,
+        }),
+    }
+}
+
+fn sealer(incarnation: u64) -> Sealer {
+    Sealer::new(key(), address(1), Incarnation(incarnation))
+}
+
+#[test]
+fn datagrams_come_back_as_they_were_and_fit() {
+    let brief = Brief {
+        version: Version(7),
+        table: u64::MAX,
+    };
+    let records: Vec<Record> = (0..10).map(record).collect();
+    let all = [
+        Datagram::Announce(Version(9)),
+        Datagram::Fetch {
+            ticket: 3,
+            since: Version(8),
+        },
+        Datagram::Fetched {
+            ticket: 3,
+            deltas: None,
+        },
+        Datagram::Member(Message::Ping {
+            sequence: 1,
+            brief,
+            records: records.clone(),
+        }),
+        Datagram::Member(Message::Compare {
+            marks: Box::new([u64::MAX; 64]),
+        }),
+        Datagram::Member(Message::News { records }),
+    ];
+    let (mut seal, mut open) = (sealer(5), Opener::new(key()));
+    for datagram in all {
+        let bytes = seal.seal(&datagram);
+        assert!(bytes.len() <= DATAGRAM_MAX, "{} bytes", bytes.len());
+        assert_eq!(open.open(&bytes), Ok((address(1), datagram)));
+    }
+}
+
+#[test]
+fn replays_other_keys_and_changed_bytes_are_refused() {
+    let (mut seal, mut open) = (sealer(5), Opener::new(key()));
+    let first = seal.seal(&Datagram::Announce(Version(1)));
+    let second = seal.seal(&Datagram::Announce(Version(2)));
+    assert!(open.open(&second).is_ok());
+    assert!(open.open(&first).is_ok(), "late, but new");
+    assert_eq!(open.open(&first), Err(WireError::Replay));
+    assert_eq!(open.open(&second), Err(WireError::Replay));
+    let mut forged = seal.seal(&Datagram::Announce(Version(3)));
+    forged[10] ^= 1;
+    assert_eq!(open.open(&forged), Err(WireError::Authentic));
+    let mut other = Sealer::new(FleetKey::derive("another"), address(1), Incarnation(5));
+    let foreign = other.seal(&Datagram::Announce(Version(4)));
+    assert_eq!(open.open(&foreign), Err(WireError::Authentic));
+    // A new life starts its counter anew; the old one's datagrams no longer count.
+    let (mut reborn, old) = (sealer(6), seal.seal(&Datagram::Announce(Version(5))));
+    assert!(
+        open.open(&reborn.seal(&Datagram::Announce(Version(6))))
+            .is_ok()
+    );
+    assert_eq!(open.open(&old), Err(WireError::Replay));
+}
+
+#[test]
+fn frames_are_bound_to_their_connection_direction_and_place() {
+    let nonce = [7; 16];
+    let mut send = Lane::request(&key(), nonce);
+    let (one, two) = (send.seal(b"one").unwrap(), send.seal(b"two").unwrap());
+    let split = |f: &[u8]| -> ([u8; HEADER_BYTES], Vec<u8>) {
+        (
+            f[..HEADER_BYTES].try_into().unwrap(),
+            f[HEADER_BYTES..].to_vec(),
+        )
+    };
+    let refused = |mut lane: Lane, frame: &[u8]| {
+        let (header, body) = split(frame);
+        lane.open(&header, &body) == Err(WireError::Authentic)
+    };
+    assert!(
+        refused(Lane::request(&key(), [8; 16]), &one),
+        "another connection"
+    );
+    assert!(
+        refused(Lane::reply(&key(), nonce), &one),
+        "the other direction"
+    );
+    assert!(refused(Lane::request(&key(), nonce), &two), "out of order");
+    let mut receive = Lane::request(&key(), nonce);
+    for frame in [one, two] {
+        let (header, body) = split(&frame);
+        assert_eq!(receive.open(&header, &body), Ok(()));
+    }
+    let huge = [0xFF; HEADER_BYTES];
+    assert_eq!(
+        receive.length(&huge),
+        Err(WireError::TooLong(u32::MAX as usize))
+    );
+    assert!(
+        Lane::request(&key(), nonce)
+            .seal(&vec![0; REQUEST_MAX + 1])
+            .is_err()
+    );
+}
+
+#[test]
+fn passports_are_read_back_and_cannot_be_changed() {
+    let passport = Passport {
+        attempt: AttemptId(77),
+        incarnation: Incarnation(5),
+        class: Class::Order,
+        left: Duration::from_millis(250),
+        sent: 1_796_000_000_000,
+    };
+    let mut headers = http::HeaderMap::new();
+    passport.write(&key(), &mut headers);
+    assert_eq!(Passport::read(&key(), &headers), Ok(passport));
+    headers.insert("tarragon-class", "lookup".parse().unwrap());
+    assert_eq!(Passport::read(&key(), &headers), Err(WireError::Authentic));
+    headers.remove("tarragon-class");
+    assert_eq!(Passport::read(&key(), &headers), Err(WireError::Malformed));
+}
+
+#[test]
+fn random_bytes_are_refused_without_harm() {
+    fuzz::fuzz("bytes", 500, 2000, |u, counts| {
+        let mut open = Opener::new(key());
+        while !u.is_empty() {
+            let length = below(u, 200);
+            let mut bytes: Vec<u8> = (0..length).map(|_| u.arbitrary().unwrap_or(0)).collect();
+            if chance(u, 50) {
+                // Authentic rubbish, as a node of another version might send.
+                let mac = key().mac(&[b"datagram", &bytes]);
+                bytes.extend_from_slice(&mac);
+            }
+            counts.add(if open.open(&bytes).is_ok() {
+                "opened"
+            } else {
+                "refused"
+            });
+            let _ = PeerRequest::decode(&bytes);
+            let _ = PeerReply::decode(&bytes);
+        }
+    });
+}
+
+fn object(u: &mut Unstructured) -> Object {
+    let service = Path::new(&format!("guild/services/s{}", below(u, 9))).unwrap();
+    match below(u, 4) {
+        0 => Team {
+            token_hash: format!("{}:{}", "a".repeat(32), "b".repeat(64)),
+        }
+        .into(),
+        1 => Service {
+            shed_status: chance(u, 50).then(|| 400 + below(u, 200) as u16),
+            health: chance(u, 50).then(|| format!("/up/{}", below(u, 9))),
+        }
+        .into(),
+        2 => TargetSettings {
+            service,
+            slots: 1 + below(u, 20) as u32,
+            connections: 40 + below(u, 100) as u32,
+            ramp: Duration::from_millis(below(u, 600_000) as u64),
+            drained: chance(u, 50),
+        }
+        .into(),
+        _ => Route {
+            host: chance(u, 50).then(|| "guild.example".to_string()),
+            prefix: format!("/p{}", below(u, 9)),
+            methods: (0..below(u, 3))
+                .map(|n| ["GET", "POST", "PUT"][n].to_string())
+                .collect(),
+            service,
+            class: Class::ALL[below(u, 4)],
+            deadline: Duration::from_millis(1 + below(u, 3_600_000) as u64),
+            attempts: 1 + below(u, 10) as u8,
+            idempotency: [
+                Idempotency::ByMethod,
+                Idempotency::Always,
+                Idempotency::Never,
+            ][below(u, 3)],
+            keyed: chance(u, 50),
+        }
+        .into(),
+    }
+}
+
+#[test]
+fn settings_survive_yaml_and_the_wire() {
+    fuzz::fuzz("settings", 300, 400, |u, counts| {
+        while !u.is_empty() {
+            counts.add("objects");
+            let path = Path::new(&format!("guild/x/{}", below(u, 1000))).unwrap();
+            let entry = Entry {
+                path,
+                object: Arc::new(object(u)),
+            };
+            let back = parse("a.yaml", &show(&entry)).expect("what is shown is understood");
+            assert_eq!(back[0].entry, entry);
+            let wire = WireObject::from(&*entry.object);
+            let bytes = postcard::to_stdvec(&wire).unwrap();
+            let wire: WireObject = postcard::from_bytes(&bytes).unwrap();
+            assert_eq!(Object::try_from(wire).unwrap(), *entry.object);
+        }
+    });
+}
+
+#[test]
+fn a_snapshot_with_another_content_is_refused() {
+    let whole = tarragoncourse::experiment::convergence::sample(20);
+    let wire = postcard::to_stdvec(&WireSnapshot::from(&whole)).unwrap();
+    let back: WireSnapshot = postcard::from_bytes(&wire).unwrap();
+    assert_eq!(Snapshot::try_from(back).unwrap().digest(), whole.digest());
+    let text = String::from_utf8_lossy(&wire).into_owned();
+    let at = text.find("service-7").expect("it is in there");
+    let mut changed = wire;
+    changed[at..]
+        .iter_mut()
+        .find(|b| **b == b'7')
+        .map(|b| *b = b'8')
+        .unwrap();
+    let back: Result<WireSnapshot, _> = postcard::from_bytes(&changed);
+    assert!(back.is_err() || Snapshot::try_from(back.unwrap()).is_err());
+}
--- /dev/null
+++ b/tests/test_slots.rs
@@ -0,0 +1,95 @@
+//! Watcher slots: few candidates whatever the fleet's size, and leases that lapse unnoticed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tarragoncourse::coordination::slots::{
+    LEASE_TTL, RENEW_PERIOD, SLOTS_PER_ZONE, SlotStep, Slots,
+};
+use tarragoncourse::state::id::Incarnation;
+use tarragoncourse::state::member::{Health, MemberTable, Record};
+use tokio::time::Instant;
+
+fn address(n: usize) -> SocketAddr {
+    let [a, b] = (n as u16).to_be_bytes();
+    SocketAddr::from(([10, 0, a, b], 7000))
+}
+
+fn table(nodes: usize, watchers: usize) -> MemberTable {
+    let mut table = MemberTable::default();
+    for n in 0..nodes {
+        table.merge(&Record {
+            peer: address(n),
+            gate: 1,
+            incarnation: Incarnation(1),
+            sequence: 0,
+            zone: "a".into(),
+            health: Health::Ready,
+            watcher: n < watchers,
+            target: None,
+        });
+    }
+    table
+}
+
+fn takers(nodes: usize, watchers: usize) -> usize {
+    let table = table(nodes, watchers);
+    let now = Instant::now();
+    let takes = |n: &usize| {
+        let step = Slots::new(now).step(&table, "a", address(*n), now);
+        matches!(step, SlotStep::Take(_))
+    };
+    (0..nodes).filter(takes).count()
+}
+
+#[test]
+fn the_number_that_tries_does_not_grow_with_the_fleet() {
+    let small = takers(10, 0);
+    assert!(
+        (SLOTS_PER_ZONE..=SLOTS_PER_ZONE + 1).contains(&small),
+        "{small}"
+    );
+    assert_eq!(takers(400, 0), small);
+    assert_eq!(
+        takers(400, SLOTS_PER_ZONE),
+        0,
+        "all slots are seen as taken"
+    );
+}
+
+#[test]
+fn a_holder_that_slept_past_its_lease_holds_nothing() {
+    let table = table(1, 0);
+    let began = Instant::now();
+    let mut slots = Slots::new(began);
+    slots.took(0, 9, began);
+    assert!(slots.held(began + LEASE_TTL / 2).is_some());
+    let later = began + RENEW_PERIOD;
+    assert_eq!(
+        slots.step(&table, "a", address(0), later),
+        SlotStep::Renew(9)
+    );
+    // The renewal was asked before the pause and answered after it: the asking counts.
+    slots.renewed(9, later);
+    let woken = later + LEASE_TTL + Duration::from_secs(1);
+    assert!(slots.held(woken).is_none());
+    assert!(matches!(
+        slots.step(&table, "a", address(0), woken),
+        SlotStep::Take(_)
+    ));
+}
+
+#[test]
+fn a_holder_that_many_outrank_gives_its_slot_back() {
+    let many = table(500, 0);
+    let now = Instant::now();
+    let step = |n: usize| {
+        let mut slots = Slots::new(now);
+        slots.took(0, 5, now);
+        slots.step(&many, "a", address(n), now)
+    };
+    let released = (0..500)
+        .filter(|n| step(*n) == SlotStep::Release(5))
+        .count();
+    assert!(released > 480, "{released} of 500");
+}
--- /dev/null
+++ b/tests/test_store.rs
@@ -0,0 +1,85 @@
+//! The platform's store: a restore from an older backup, and a new node that reads a snapshot.
+
+use std::time::Duration;
+
+use tarragoncourse::coordination::commit::Verdict;
+use tarragoncourse::experiment::convergence::{service, team};
+use tarragoncourse::experiment::fleet::Fleet;
+use tarragoncourse::protocol::record::{HEAD_KEY, decode_head};
+use tarragoncourse::state::id::Version;
+use tarragoncourse::transport::platform::Platform;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+async fn change(fleet: &Fleet, round: usize) -> Option<Version> {
+    match fleet.node(0).change(vec![team(), service(0, round)]).await {
+        Verdict::Accepted { snapshot, .. } => Some(snapshot.version()),
+        _ => None,
+    }
+}
+
+async fn fleet(nodes: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.add_nodes(nodes).await.expect("sockets");
+    fleet.joined(PATIENCE).await.expect("joined");
+    fleet
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_that_lost_versions_gets_them_back() {
+    let fleet = fleet(3).await;
+    assert_eq!(change(&fleet, 1).await, Some(Version(1)));
+    let backup = fleet.platform.backup();
+    for round in 2..5 {
+        assert!(change(&fleet, round).await.is_some());
+    }
+    fleet
+        .in_force(Version(4), PATIENCE)
+        .await
+        .expect("in force");
+    fleet.platform.restore(backup);
+    // A watcher or the next change finds the older head; no node follows it.
+    let mut newest = None;
+    for round in 5..40 {
+        newest = change(&fleet, round).await;
+        assert!(
+            (0..3).all(|n| fleet.node(n).version() >= Version(4)),
+            "a node went back"
+        );
+        if newest.is_some() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(newest, Some(Version(5)));
+    fleet
+        .in_force(Version(5), PATIENCE)
+        .await
+        .expect("in force");
+    let head = fleet
+        .platform
+        .get(HEAD_KEY)
+        .await
+        .expect("up")
+        .expect("there");
+    assert_eq!(decode_head(&head.text).expect("a head").version, Version(5));
+    fleet.end();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_node_reads_a_snapshot_and_the_changes_after_it() {
+    let mut first = fleet(1).await;
+    for round in 0..70 {
+        assert!(change(&first, round).await.is_some());
+    }
+    let written = first.platform.list("snapshot").await.expect("up");
+    assert!(written.len() >= 2, "an index and a piece");
+    // The only holder dies; a new node has nothing but the platform.
+    first.nodes.remove(0).kill();
+    first.add_nodes(1).await.expect("sockets");
+    first
+        .in_force(Version(70), PATIENCE)
+        .await
+        .expect("in force");
+    first.end();
+}
