Mend: smaller modules, one way to read numbers, raised incarnations followed

Cause: ingress.rs and members.rs had grown large; numbers in headers and queries were read in four places; offer and adopt were one thing twice.

--- a/src/coordination/distribution.rs
+++ b/src/coordination/distribution.rs
@@ -205,18 +205,6 @@
         }
     }
 
-    /// This node accepted a change, or read newer versions from the platform.
-    pub fn offer(
-        &mut self,
-        snapshot: Arc<Snapshot>,
-        deltas: Vec<Arc<Delta>>,
-        peers: &[SocketAddr],
-        now: Instant,
-        out: &mut Actions,
-    ) {
-        self.adopt(snapshot, deltas, peers, now, out);
-    }
-
     /// A pull or a platform read ended. `peers` is whom to announce a new version to.
     pub fn pulled(
         &mut self,
@@ -232,7 +220,7 @@
         let from = self.fetch.take().and_then(|f| f.from);
         match result {
             Pulled::Deltas(deltas) => self.apply(deltas, peers, now, out),
-            Pulled::Whole(snapshot) => self.adopt(snapshot, Vec::new(), peers, now, out),
+            Pulled::Whole(snapshot) => self.offer(snapshot, Vec::new(), peers, now, out),
             Pulled::Busy(others) => self.busy(from, &others, now),
             Pulled::Nothing | Pulled::Failed => self.failed(from, now),
         }
@@ -331,7 +319,7 @@
                 }
             }
         }
-        self.adopt(Arc::new(next), deltas, peers, now, out);
+        self.offer(Arc::new(next), deltas, peers, now, out);
     }
 
     fn mismatch(&mut self, now: Instant) {
@@ -340,7 +328,9 @@
         self.back_off(now);
     }
 
-    fn adopt(
+    /// Puts a newer snapshot in force and announces it to `peers`; an older one is refused.
+    /// `deltas` lead to it, for peers that are a few versions behind.
+    pub fn offer(
         &mut self,
         snapshot: Arc<Snapshot>,
         deltas: Vec<Arc<Delta>>,
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -20,7 +20,7 @@
 use crate::state::object::Object;
 use crate::state::snapshot::Edit;
 use crate::state::validate::{ADMIN, check_owner, check_whole};
-use crate::transport::http::{Endpoint, full, json as json_response, read_body};
+use crate::transport::http::{Endpoint, full, json as json_response, query_number, read_body};
 use crate::transport::link::{REQUEST_TIMEOUT, ask};
 use crate::transport::platform::Platform;
 
@@ -149,7 +149,7 @@
 
     /// How many members have a version in force.
     async fn api_convergence(self: &Arc<Self>, query: &str) -> Response<Body> {
-        let wanted = Version(parameter(query, "version").unwrap_or(self.version().0));
+        let wanted = Version(query_number(query, "version").unwrap_or(self.version().0));
         let peers = lock(&self.members).sample(ASKED_MAX);
         let mut versions = vec![("self".to_string(), Some(self.version().0))];
         for chunk in peers.chunks(ASKED_AT_ONCE) {
@@ -182,7 +182,7 @@
     }
 
     async fn api_history(&self, query: &str) -> Response<Body> {
-        let most = parameter(query, "limit").unwrap_or(20) as usize;
+        let most = query_number(query, "limit").unwrap_or(20) as usize;
         match self.history(Version(0), most).await {
             Ok(records) => {
                 let list: Vec<Value> = records.iter().map(summary).collect();
@@ -354,12 +354,6 @@
     })
 }
 
-fn parameter(query: &str, name: &str) -> Option<u64> {
-    let pairs = query.split('&').filter_map(|p| p.split_once('='));
-    let mut named = pairs.filter(|(n, _)| *n == name);
-    named.next().and_then(|(_, v)| v.parse().ok())
-}
-
 fn unauthorized() -> Response<Body> {
     text(
         StatusCode::UNAUTHORIZED,
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -75,6 +75,7 @@
             members.tick(version, now, &mut out);
             spare_peers(&members)
         };
+        self.follow_incarnation();
         self.send_members(out);
         let mut actions = Actions::new();
         lock(&self.distribution).tick(&spares, now, &mut actions);
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -1,23 +1,18 @@
 //! The ingress: matches a caller's request to a route, picks a target, forwards, and retries on
 //! evidence only.
 
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http_body::{Body as HttpBody, Frame, SizeHint};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, Uri};
 use smallvec::SmallVec;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
+use super::answers::{Told, bad_request, no_route, replayed, told};
+use super::body::SharedBody;
 use super::gate::strip;
 use super::{Node, lock, wall_millis};
 use crate::coordination::claims::{ClaimVerdict, KeyHash, KeyState, Wish};
@@ -31,7 +26,7 @@
 use crate::state::object::Class;
 use crate::state::routing::{Candidate, RouteEntry, RoutingTable, ServiceEntry};
 use crate::transport::client::SendError;
-use crate::transport::http::{Endpoint, empty, full, full_body, read_body};
+use crate::transport::http::{Endpoint, header_number};
 use crate::transport::link::ask;
 use crate::transport::platform::Platform;
 
@@ -39,14 +34,10 @@
 const GRACE: Duration = Duration::from_millis(100);
 /// Time within which a gate answers a void.
 const VOID_TIMEOUT: Duration = Duration::from_millis(500);
-/// Unit in which memory for kept bodies is counted, in bytes.
-pub(super) const KEEP_UNIT_BYTES: u64 = 1024;
 /// Header with which a caller names a request that it may repeat.
 const KEY_HEADER: &str = "idempotency-key";
 /// Longest idempotency key, in bytes.
 const KEY_MAX: usize = 256;
-/// Header that marks the stored outcome of an earlier request with the same key.
-const REPLAYED_HEADER: &str = "tarragon-replayed";
 
 /// HTTP service for callers.
 pub(super) struct Ingress<P>(pub(super) Arc<Node<P>>);
@@ -72,8 +63,6 @@
     }
 }
 
-type Told = (Response<Body>, Outcome);
-
 /// One request on its way.
 struct Call {
     method: Method,
@@ -100,9 +89,9 @@
         began: Instant,
     ) -> Told {
         let (parts, body) = request.into_parts();
-        let limit = number(&parts.headers, DEADLINE).map(Duration::from_millis);
+        let limit = header_number(&parts.headers, DEADLINE).map(Duration::from_millis);
         let time = limit.map_or(route.route.deadline, |l| l.min(route.route.deadline));
-        let body = match self.take_body(&parts.headers, body).await {
+        let body = match self.bodies.take(&parts.headers, body).await {
             Ok(body) => body,
             Err(_) => return bad_request("the request's body broke off; send it whole"),
         };
@@ -123,43 +112,6 @@
         }
     }
 
-    /// Keeps small bodies whole, so that the request can be sent again; streams the others.
-    async fn take_body(
-        self: &Arc<Self>,
-        headers: &HeaderMap,
-        body: Body,
-    ) -> io::Result<SharedBody> {
-        if body.is_end_stream() {
-            return Ok(SharedBody::Whole(Kept {
-                bytes: Bytes::new(),
-                _room: None,
-            }));
-        }
-        let length = number(headers, CONTENT_LENGTH.as_str());
-        match length.and_then(|n| self.keep(n)) {
-            Some(room) => {
-                let most = self.settings.replay_body as usize;
-                let bytes = read_body(body, most).await?;
-                let _room = Some(room);
-                Ok(SharedBody::Whole(Kept { bytes, _room }))
-            }
-            None => {
-                let body = Mutex::new(Some(body));
-                let failed = AtomicBool::new(false);
-                Ok(SharedBody::Once(Arc::new(Upload { body, failed })))
-            }
-        }
-    }
-
-    /// Room to keep a body of this length whole; none for a large one, or while many are kept.
-    fn keep(self: &Arc<Self>, length: u64) -> Option<OwnedSemaphorePermit> {
-        if length > self.settings.replay_body {
-            return None;
-        }
-        let units = length.div_ceil(KEEP_UNIT_BYTES) as u32;
-        self.kept.clone().try_acquire_many_owned(units).ok()
-    }
-
     /// Claims the key before the request may run, and records what became of it.
     async fn serve_keyed(self: &Arc<Self>, call: &mut Call, key: KeyHash) -> Told {
         let claim = AttemptId(fastrand::u128(..));
@@ -191,7 +143,7 @@
     async fn attempts(self: &Arc<Self>, call: &mut Call) -> Told {
         let route = call.route.clone();
         let idempotent = is_idempotent(route.route.idempotency, call.method.as_str());
-        let allowed = number(&call.headers, ATTEMPTS_LEFT).unwrap_or(u64::MAX);
+        let allowed = header_number(&call.headers, ATTEMPTS_LEFT).unwrap_or(u64::MAX);
         let allowed = allowed.clamp(1, route.route.attempts.into()) as u8;
         strip(&mut call.headers);
         let mut tried: SmallVec<[SocketAddr; 4]> = SmallVec::new();
@@ -363,94 +315,6 @@
     }
 }
 
-/// A request's body, opened once for each attempt.
-enum SharedBody {
-    /// Held whole.
-    Whole(Kept),
-    /// Streamed from the caller; gone once an attempt has read from it.
-    Once(Arc<Upload>),
-}
-
-/// A body held whole, with its share of the memory for such bodies.
-struct Kept {
-    bytes: Bytes,
-    _room: Option<OwnedSemaphorePermit>,
-}
-
-/// A caller's streamed body.
-struct Upload {
-    body: Mutex<Option<Body>>,
-    /// Whether the caller broke off, or sent what is not a body.
-    failed: AtomicBool,
-}
-
-impl SharedBody {
-    fn open(&self) -> Body {
-        match self {
-            SharedBody::Whole(kept) if kept.bytes.is_empty() => Body::default(),
-            SharedBody::Whole(kept) => full_body(kept.bytes.clone()),
-            SharedBody::Once(upload) => Body::new(StreamedBody {
-                upload: upload.clone(),
-                taken: None,
-            }),
-        }
-    }
-
-    fn is_replayable(&self) -> bool {
-        match self {
-            SharedBody::Whole(..) => true,
-            SharedBody::Once(upload) => lock(&upload.body).is_some(),
-        }
-    }
-
-    fn has_failed(&self) -> bool {
-        match self {
-            SharedBody::Whole(..) => false,
-            SharedBody::Once(upload) => upload.failed.load(Ordering::Acquire),
-        }
-    }
-}
-
-/// Takes the caller's body at the first read, so that an attempt that never read leaves it whole.
-struct StreamedBody {
-    upload: Arc<Upload>,
-    taken: Option<Body>,
-}
-
-impl HttpBody for StreamedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if self.taken.is_none() {
-            let body = lock(&self.upload.body).take();
-            self.taken = body;
-        }
-        match &mut self.taken {
-            Some(body) => {
-                let polled = Pin::new(body).poll_frame(cx);
-                if matches!(polled, Poll::Ready(Some(Err(_)))) {
-                    self.upload.failed.store(true, Ordering::Release);
-                }
-                polled
-            }
-            None => Poll::Ready(Some(Err(io::ErrorKind::BrokenPipe.into()))),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match &self.taken {
-            Some(body) => body.size_hint(),
-            None => lock(&self.upload.body)
-                .as_ref()
-                .map_or_else(SizeHint::default, HttpBody::size_hint),
-        }
-    }
-}
-
 fn find<'a>(table: &'a RoutingTable, request: &Request<Body>) -> Option<&'a Arc<RouteEntry>> {
     let named = request.headers().get(HOST).and_then(|h| h.to_str().ok());
     let host = request.uri().host().or(named).unwrap_or_default();
@@ -463,14 +327,10 @@
     fits.then(|| KeyHash::new(call.route.route.service.as_str(), key))
 }
 
-fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
-}
-
 /// Reads a gate's answer. Without the outcome header, something else listens at that address.
 fn understood(mut response: Response<Body>, took: Option<Duration>) -> (Ended, Sign) {
     let headers = response.headers();
-    let load = number(headers, LOAD).unwrap_or(0) as u32;
+    let load = header_number(headers, LOAD).unwrap_or(0) as u32;
     let text = headers.get(OUTCOME_HEADER).and_then(|v| v.to_str().ok());
     match text.and_then(Outcome::parse) {
         Some(Outcome::Answered) => {
@@ -488,68 +348,3 @@
         ),
     }
 }
-
-/// What a caller is told when there is no answer.
-fn told(outcome: Outcome) -> Told {
-    let (status, remedy) = match outcome {
-        Outcome::Answered => (StatusCode::OK, ""),
-        Outcome::NotRun(NotRun::CallerGone) => (
-            StatusCode::BAD_REQUEST,
-            "the request's body broke off; send it whole",
-        ),
-        Outcome::NotRun(_) => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "it was not run; send it again later",
-        ),
-        Outcome::Unknown(Doubt::Timeout) => (
-            StatusCode::GATEWAY_TIMEOUT,
-            "it may have run; look before sending it again",
-        ),
-        Outcome::Unknown(Doubt::KeyInDoubt) => (
-            StatusCode::CONFLICT,
-            "an earlier request with this key may have run; look before sending a new one",
-        ),
-        Outcome::Unknown(_) => (
-            StatusCode::BAD_GATEWAY,
-            "it may have run; look before sending it again",
-        ),
-    };
-    let text = format!("{outcome}: {remedy}\n");
-    let mut response = full(status, "text/plain", text);
-    mark(&mut response, outcome);
-    if matches!(outcome, Outcome::NotRun(_)) {
-        let wait = HeaderValue::from_static("1");
-        response.headers_mut().insert(RETRY_AFTER, wait);
-    }
-    (response, outcome)
-}
-
-fn replayed(status: u16) -> Told {
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
-    let mut response = empty(status);
-    mark(&mut response, Outcome::Answered);
-    let yes = HeaderValue::from_static("true");
-    response.headers_mut().insert(REPLAYED_HEADER, yes);
-    (response, Outcome::Answered)
-}
-
-fn no_route() -> Told {
-    let outcome = Outcome::NotRun(NotRun::NoTarget);
-    let text = "no route matches this host, path and method; see `tarragon get`\n";
-    let mut response = full(StatusCode::NOT_FOUND, "text/plain", text);
-    mark(&mut response, outcome);
-    (response, outcome)
-}
-
-fn bad_request(text: &'static str) -> Told {
-    let outcome = Outcome::NotRun(NotRun::CallerGone);
-    let mut response = full(StatusCode::BAD_REQUEST, "text/plain", format!("{text}\n"));
-    mark(&mut response, outcome);
-    (response, outcome)
-}
-
-fn mark(response: &mut Response<Body>, outcome: Outcome) {
-    if let Ok(value) = HeaderValue::from_str(&outcome.to_string()) {
-        response.headers_mut().insert(OUTCOME_HEADER, value);
-    }
-}
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -151,12 +151,19 @@
     }
 
     fn exchange(&self, records: &[Record]) {
-        let incarnation = {
-            let mut members = lock(&self.members);
-            members.exchange(records, Instant::now());
-            members.own().incarnation
-        };
+        lock(&self.members).exchange(records, Instant::now());
+        self.follow_incarnation();
+    }
+
+    /// An earlier life of this address may have had a clock that was ahead. The node then raises
+    /// its incarnation, and gate and datagrams follow: peers refuse those of an earlier life.
+    pub(super) fn follow_incarnation(&self) {
+        let incarnation = lock(&self.members).own().incarnation;
+        if lock(&self.sender).sealer.incarnation() == incarnation {
+            return;
+        }
         lock(&self.gate).gate.set_incarnation(incarnation);
+        lock(&self.sender).sealer.set_incarnation(incarnation);
     }
 
     /// Waits until the configuration is at least as new as what the round found. With the
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,7 +3,9 @@
 //! Shared tables are locked in the order of the fields of [`Node`]: members, distribution, slots,
 //! gate, health, picker, retries, sender, fetches. A lock is never held across an await.
 
+mod answers;
 mod api;
+mod body;
 mod claims;
 pub mod config;
 mod control;
@@ -49,6 +51,7 @@
 use crate::transport::http::{ServeLimits, serve};
 use crate::transport::platform::Platform;
 
+use body::BodyKeeper;
 pub use claims::ClaimQueue;
 pub use metrics::Metrics;
 
@@ -61,8 +64,6 @@
 const PULLS_MAX: usize = 8;
 /// Member tables served at once.
 const JOINS_MAX: usize = 8;
-/// Memory for callers' bodies that are kept whole, in bytes.
-const KEPT_BYTES: usize = 64 << 20;
 /// Connections of operators at once.
 const ADMIN_CONNECTIONS: usize = 64;
 
@@ -112,8 +113,7 @@
     claims: ClaimQueue,
     pulls: Semaphore,
     joins: Semaphore,
-    /// Memory for callers' bodies that are kept whole, in units.
-    kept: Arc<Semaphore>,
+    bodies: BodyKeeper,
     metrics: Metrics,
     ready: AtomicBool,
     leaving: AtomicBool,
@@ -253,9 +253,7 @@
             claims,
             pulls: Semaphore::new(PULLS_MAX),
             joins: Semaphore::new(JOINS_MAX),
-            kept: Arc::new(Semaphore::new(
-                KEPT_BYTES / ingress::KEEP_UNIT_BYTES as usize,
-            )),
+            bodies: BodyKeeper::new(settings.replay_body),
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- a/src/protocol/datagram.rs
+++ b/src/protocol/datagram.rs
@@ -192,6 +192,17 @@
         }
     }
 
+    /// The life that the datagrams are sealed for.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Follows a raised incarnation of the node; the counter starts anew.
+    pub fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
+        self.counter = 0;
+    }
+
     /// Encodes and authenticates a datagram.
     pub fn seal(&mut self, datagram: &Datagram) -> Vec<u8> {
         self.counter += 1;
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -12,7 +12,9 @@
 use super::faults::Faults;
 use super::platform::MemoryPlatform;
 use super::store::VALUE_MAX;
-use crate::transport::http::{Endpoint, empty, full, json as json_response, read_body};
+use crate::transport::http::{
+    Endpoint, empty, full, header_number, json as json_response, query_number, read_body,
+};
 use crate::transport::kv::{EXPECT_HEADER, LEASE_HEADER, REVISION_HEADER};
 use crate::transport::platform::{Platform, PlatformError, Value};
 
@@ -73,8 +75,8 @@
                 "value is over one megabyte",
             ));
         }
-        let expected = number(headers, EXPECT_HEADER).unwrap_or(0);
-        let lease = number(headers, LEASE_HEADER);
+        let expected = header_number(headers, EXPECT_HEADER).unwrap_or(0);
+        let lease = header_number(headers, LEASE_HEADER);
         let swapped = self.0.swap(key, value, expected, lease).await?;
         Ok(match swapped {
             Some(revision) => with_revision(empty(StatusCode::OK), revision),
@@ -83,7 +85,7 @@
     }
 
     async fn delete(&self, key: &str, headers: &HeaderMap) -> Answered {
-        let expected = number(headers, EXPECT_HEADER).unwrap_or(0);
+        let expected = header_number(headers, EXPECT_HEADER).unwrap_or(0);
         Ok(empty(match self.0.delete(key, expected).await? {
             true => StatusCode::OK,
             false => StatusCode::PRECONDITION_FAILED,
@@ -98,8 +100,8 @@
     }
 
     async fn watch(&self, key: &str, query: &str) -> Answered {
-        let after = parameter(query, "after").unwrap_or(0);
-        let wait = Duration::from_millis(parameter(query, "wait").unwrap_or(0));
+        let after = query_number(query, "after").unwrap_or(0);
+        let wait = Duration::from_millis(query_number(query, "wait").unwrap_or(0));
         let changed = self.0.watch(key, after, wait).await?;
         Ok(match changed {
             Some(value) => found(Some(value)),
@@ -108,7 +110,7 @@
     }
 
     async fn grant(&self, query: &str) -> Answered {
-        let ttl = Duration::from_millis(parameter(query, "ttl").unwrap_or(1000));
+        let ttl = Duration::from_millis(query_number(query, "ttl").unwrap_or(1000));
         let lease = self.0.grant(ttl).await?;
         Ok(text(StatusCode::OK, lease.to_string()))
     }
@@ -143,13 +145,3 @@
 fn text(status: StatusCode, body: impl Into<String>) -> Response<Body> {
     full(status, "text/plain", body.into())
 }
-
-fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
-}
-
-fn parameter(query: &str, name: &str) -> Option<u64> {
-    let pairs = query.split('&').filter_map(|p| p.split_once('='));
-    let mut named = pairs.filter(|(n, _)| *n == name);
-    named.next().and_then(|(_, v)| v.parse().ok())
-}
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -18,7 +18,9 @@
 use tokio::time::Instant;
 
 use crate::protocol::headers::DEADLINE;
-use crate::transport::http::{Endpoint, empty, full, json as json_response, read_body};
+use crate::transport::http::{
+    Endpoint, empty, full, json as json_response, query_number, read_body,
+};
 
 /// Header that names a request.
 pub const ID_HEADER: &str = "x-request-id";
@@ -221,10 +223,7 @@
 }
 
 fn parameter(request: &Request<Body>, name: &str) -> Option<u64> {
-    let pairs = request.uri().query()?.split('&');
-    let mut named = pairs.filter_map(|p| p.split_once('='));
-    let (_, value) = named.find(|(n, _)| *n == name)?;
-    value.parse().ok()
+    query_number(request.uri().query()?, name)
 }
 
 fn locked<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -199,3 +199,21 @@
     })?;
     Ok(collected.to_bytes())
 }
+
+/// A header's value as a number.
+pub fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// A number in a query such as `a=1&b=2`.
+///
+/// ```
+/// use tarragoncourse::transport::http::query_number;
+/// assert_eq!(query_number("a=1&b=2", "b"), Some(2));
+/// assert_eq!(query_number("a=1", "b"), None);
+/// ```
+pub fn query_number(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+    let (_, value) = pairs.find(|(n, _)| *n == name)?;
+    value.parse().ok()
+}
