--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 use tarragoncourse::experiment::{
-    Report, baseline, churn, claims, convergence, latency, picking, size, spread,
+    Report, baseline, churn, claims, convergence, faults, latency, picking, size, spread,
 };
 
 use crate::util::{CliError, CliResult, arguments, block_on, one_word, table};
@@ -21,6 +21,7 @@
     churn         one node replaced, then half of the fleet
     claims        platform writes as keyed requests grow
     convergence   convergence time and control bytes as the fleet grows
+    faults        what callers are told, retries and latency under faults
     latency       latency that the two hops add to a direct call
     picking       picking and queueing against plain ways, on a virtual clock
     size          cost of the configuration and the member table as they grow
@@ -121,6 +122,7 @@
                 convergence::run(&args.sizes(&[8, 16, 64, 256]), args.changes).await?;
             Ok(report)
         }
+        "faults" => faults::run(args.seed).await,
         "latency" => latency::run(&args.sizes(&[1, 8, 32]), args.calls).await,
         "picking" => Ok(picking::run(args.seed)),
         "spread" => Ok(spread::run(&args.sizes(&[1000, 10_000, 30_000]), args.seed)),
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -98,6 +98,22 @@
         Ok(())
     }
 
+    /// Kills the node beside a target and starts another in its place.
+    ///
+    /// # Errors
+    /// Any socket error.
+    pub async fn replace(&mut self, at: usize) -> io::Result<()> {
+        let target = &self.targets[at];
+        let beside = TargetAddress {
+            address: target.address,
+            service: target.service.clone(),
+            slots: target.target.slots(),
+        };
+        let running = RunningNode::start(settings(at, Some(beside)), self.platform.clone()).await?;
+        std::mem::replace(&mut self.nodes[at], running).kill();
+        Ok(())
+    }
+
     /// One of the nodes.
     pub fn node(&self, at: usize) -> &Arc<Node<MemoryPlatform>> {
         self.nodes[at].node()
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 pub mod churn;
 pub mod claims;
 pub mod convergence;
+pub mod faults;
 pub mod fleet;
 pub mod latency;
 pub mod picking;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod api;
 mod body;
 mod claims;
+mod collect;
 pub mod config;
 mod control;
 mod dump;
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -24,7 +24,7 @@
 /// Longest time that a change may take to be accepted.
 pub(super) const COMMIT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Versions between whole snapshots in the platform.
-const SNAPSHOT_EVERY: u64 = 64;
+pub(super) const SNAPSHOT_EVERY: u64 = 64;
 /// Most records read back along the chain in one go.
 const CHAIN_MAX: u64 = 256;
 /// Most records read back by an operator's question.
@@ -45,7 +45,7 @@
     Missing(#[error(not(source))] String),
 }
 
-type StoreResult<T> = Result<T, StoreError>;
+pub(super) type StoreResult<T> = Result<T, StoreError>;
 
 impl<P: Platform> Node<P> {
     /// The head and its revision; none if nothing was ever accepted.
@@ -270,12 +270,20 @@
         }
         let held = self.platform.get(SNAPSHOT_KEY).await?;
         let revision = held.as_ref().map_or(0, |v| v.revision);
-        let newest = held.and_then(|v| decode_index(&v.text).ok());
-        if newest.is_none_or(|n| n.version < index.version) {
-            let text = encode_index(&index);
-            self.platform
-                .swap(SNAPSHOT_KEY, &text, revision, None)
-                .await?;
+        let replaced = held.and_then(|v| decode_index(&v.text).ok());
+        if replaced
+            .as_ref()
+            .is_some_and(|n| n.version >= index.version)
+        {
+            return Ok(());
+        }
+        let text = encode_index(&index);
+        let swapped = self
+            .platform
+            .swap(SNAPSHOT_KEY, &text, revision, None)
+            .await?;
+        if swapped.is_some() {
+            self.collect(index.version, replaced).await?;
         }
         Ok(())
     }
--- a/src/protocol/record.rs
+++ b/src/protocol/record.rs
@@ -30,7 +30,12 @@
 /// assert!(change_key(Version(7), ChangeId(1)).starts_with("change/00000000000000000007/"));
 /// ```
 pub fn change_key(version: Version, change: ChangeId) -> String {
-    format!("change/{:020}/{change}", version.0)
+    format!("{}{change}", change_prefix(version))
+}
+
+/// Prefix of all records that were written for a version, those that lost their race included.
+pub fn change_prefix(version: Version) -> String {
+    format!("change/{:020}/", version.0)
 }
 
 /// Key of one piece of a snapshot.
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -94,6 +94,11 @@
         *locked(&self.behaviour) = behaviour;
     }
 
+    /// Requests that it runs at once.
+    pub fn slots(&self) -> u32 {
+        locked(&self.behaviour).slots
+    }
+
     /// How often each request ran.
     pub fn runs(&self) -> HashMap<String, u32> {
         locked(&self.runs).clone()
--- a/tests/test_requests.rs
+++ b/tests/test_requests.rs
@@ -285,3 +285,36 @@
         .is_some_and(|a| a.status == 200)
     });
 }
+
+#[test]
+fn slow_senders_and_readers_are_cut_and_harm_nobody() {
+    use std::io::{Read, Write};
+    let fleet = Fleet::start("slow", 1, 1, "{\"service_ms\": 1, \"slots\": 12}");
+    let to = fleet.entries[0].callers;
+    let mut sender = std::net::TcpStream::connect(to).expect("connects");
+    sender
+        .write_all(b"GET /stock HTTP/1.1\r\nhost: gui")
+        .expect("writes");
+    // Twelve readers take every slot with answers that they never read.
+    let readers: Vec<_> = (0..12)
+        .map(|n| {
+            let mut reader = std::net::TcpStream::connect(to).expect("connects");
+            let text = format!("GET /stock?bytes=50000000 HTTP/1.1\r\nhost: guild.example\r\nx-request-id: r{n}\r\n\r\n");
+            reader.write_all(text.as_bytes()).expect("writes");
+            reader
+        })
+        .collect();
+    ms(500);
+    // Their slots are free once the deadline of three seconds has passed.
+    until("others are answered", || {
+        http(to, "GET", "guild.example", "/stock", &[], "").is_some_and(|a| a.status == 200)
+    });
+    drop(readers);
+    let mut rest = Vec::new();
+    sender
+        .set_read_timeout(Some(Duration::from_secs(15)))
+        .expect("a time-out");
+    sender
+        .read_to_end(&mut rest)
+        .expect("the connection is closed within its bound");
+}
--- a/tests/test_store.rs
+++ b/tests/test_store.rs
@@ -83,3 +83,28 @@
         .expect("in force");
     first.end();
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn old_records_and_replaced_snapshots_are_collected() {
+    let mut first = fleet(1).await;
+    for round in 0..1300 {
+        assert!(change(&first, round).await.is_some());
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // A thousand versions of history are kept, and up to two steps of snapshots more.
+    let records = first.platform.list("change/").await.expect("up").len();
+    assert!(
+        (1000..1000 + 3 * 64).contains(&records),
+        "{records} records"
+    );
+    let pieces = first.platform.list("snapshot/").await.expect("up").len();
+    assert_eq!(pieces, 1, "the newest snapshot alone");
+    // What is left is enough for a node that has nothing.
+    first.nodes.remove(0).kill();
+    first.add_nodes(1).await.expect("sockets");
+    first
+        .in_force(Version(1300), PATIENCE)
+        .await
+        .expect("in force");
+    first.end();
+}
