Targets that shed are left alone; readers that stop are ended

Cause, found by experiment faults: with one of five targets shedding, 2,067 of 6,446 requests were told 'not run'. A shedding target answers at once, so two choices took it for idle, and the retry budget ran out. Ruled out: a larger budget (it would multiply an overload), ejection (shedding is not failing). Change: refusals weigh against a target and fade by half each 250 ms. Change: a guard on the socket ends writes without progress for 5 s; a small body must arrive within the deadline too.

--- a/src/coordination/pick.rs
+++ b/src/coordination/pick.rs
@@ -32,6 +32,14 @@
 const HISTORY: Duration = Duration::from_secs(300);
 /// Weight of the newest sample in a target's mean answer time.
 const MEAN_WEIGHT: f64 = 0.1;
+/// Weight of one recent refusal against the load; a target that sheds answers fast and looks idle.
+const REFUSAL_WEIGHT: f64 = 8.0;
+/// Most recent refusals that count.
+const REFUSALS_MAX: f64 = 16.0;
+/// Refusals below which none count, so that the target is tried again.
+const REFUSALS_FORGOTTEN: f64 = 0.05;
+/// Time in which a refusal loses half of its weight.
+const REFUSAL_HALF_LIFE: Duration = Duration::from_millis(250);
 /// Factor on the load of a target whose node is suspect.
 const SUSPECT_PENALTY: f64 = 4.0;
 
@@ -44,6 +52,9 @@
     reported_at: Instant,
     /// Mean time to an answer, in seconds; zero before the first.
     mean: f64,
+    /// Recent refusals, as of `refused_at`.
+    refusals: f64,
+    refused_at: Instant,
     first: Instant,
     used: Instant,
     failures: u32,
@@ -60,6 +71,8 @@
             reported: 0,
             reported_at: now,
             mean: 0.0,
+            refusals: 0.0,
+            refused_at: now,
             first: now,
             used: now,
             failures: 0,
@@ -76,6 +89,18 @@
         f64::from(self.in_flight) + reported
     }
 
+    /// Recent refusals, fading.
+    fn refusals(&self, now: Instant) -> f64 {
+        let age = (now - self.refused_at).as_secs_f64() / REFUSAL_HALF_LIFE.as_secs_f64();
+        let left = self.refusals * 0.5f64.powf(age);
+        if left < REFUSALS_FORGOTTEN { 0.0 } else { left }
+    }
+
+    fn refuse(&mut self, now: Instant) {
+        self.refusals = (self.refusals(now) + 1.0).min(REFUSALS_MAX);
+        self.refused_at = now;
+    }
+
     fn report(&mut self, load: u32, now: Instant) {
         self.reported = load.saturating_sub(self.in_flight);
         self.reported_at = now;
@@ -175,10 +200,12 @@
                 stat.failures = 0;
                 took.into_iter().for_each(|t| stat.learn(t));
                 stat.report(load, now);
+                stat.refusals /= 2.0;
                 restore(stat);
             }
             Sign::Refused(load) => {
                 stat.report(load, now);
+                stat.refuse(now);
             }
             Sign::Abandoned => {}
             Sign::Failed => {
@@ -271,7 +298,8 @@
         } else {
             1.0
         };
-        (stat.load(now) + 1.0) / slots * penalty
+        let shy = 1.0 + stat.refusals(now) * REFUSAL_WEIGHT;
+        (stat.load(now) + 1.0) / slots * penalty * shy
     }
 
     fn may_eject(&self, share: &[Candidate], now: Instant) -> bool {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -91,9 +91,12 @@
         let (parts, body) = request.into_parts();
         let limit = header_number(&parts.headers, DEADLINE).map(Duration::from_millis);
         let time = limit.map_or(route.route.deadline, |l| l.min(route.route.deadline));
-        let body = match self.bodies.take(&parts.headers, body).await {
-            Ok(body) => body,
-            Err(_) => return bad_request("the request's body broke off; send it whole"),
+        let taken = self.bodies.take(&parts.headers, body);
+        let body = match tokio::time::timeout_at(began + time, taken).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) | Err(_) => {
+                return bad_request("the request's body broke off; send it whole");
+            }
         };
         let mut call = Call {
             method: parts.method,
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -24,6 +24,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+use super::stall::StallGuard;
+
 /// Time within which a caller must send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest request head, in bytes.
@@ -149,7 +151,7 @@
         .header_read_timeout(HEAD_TIMEOUT)
         .max_headers(HEADERS_MAX)
         .max_buf_size(HEAD_MAX);
-    let served = builder.serve_connection(TokioIo::new(stream), service);
+    let served = builder.serve_connection(TokioIo::new(StallGuard::new(stream)), service);
     // An error here is the caller's: it broke off or sent what is not HTTP.
     let _ = watcher.watch(served).await;
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,3 +5,4 @@
 pub mod kv;
 pub mod link;
 pub mod platform;
+pub mod stall;
--- a/tests/test_pick.rs
+++ b/tests/test_pick.rs
@@ -176,3 +176,34 @@
     }
     assert!(granted <= 100, "{granted} retries for 1000 answers");
 }
+
+#[test]
+fn a_target_that_sheds_is_left_alone_and_tried_again_later() {
+    let mut now = Instant::now();
+    let c: Vec<_> = (1..=5).map(|n| candidate(n, "a", Health::Ready)).collect();
+    let mut p = picker();
+    let mut shed = 0;
+    for _ in 0..6000 {
+        now += Duration::from_millis(1);
+        let peer = p.pick(&c, "a", &[], now).expect("a target").peer;
+        let sign = if peer == c[0].peer {
+            shed += 1;
+            Sign::Refused(0)
+        } else {
+            answered()
+        };
+        p.done(peer, sign, &c, now);
+    }
+    assert!(
+        shed < 40,
+        "{shed} of 2000 went to a target that sheds everything"
+    );
+    assert!(shed > 2, "it is tried again now and then");
+    // It recovers: its share comes back.
+    now += Duration::from_secs(5);
+    let counts = spread(&mut p, &c, "a", now);
+    assert!(
+        counts.get(&c[0].peer).is_some_and(|n| *n > 100),
+        "{counts:?}"
+    );
+}
