--- a/src/bin/tarragon-standin.rs
+++ b/src/bin/tarragon-standin.rs
@@ -19,15 +19,17 @@
 
 Usage:
     tarragon-standin platform [--listen ADDRESS]
-    tarragon-standin target [--listen ADDRESS] [--behaviour JSON]
+    tarragon-standin target [--listen ADDRESS] [--behaviour JSON] [--connections N]
 
 Options:
     --listen ADDRESS   where to listen [default: 127.0.0.1:0]
-    --behaviour JSON   slots, service_ms, cold_ms, shed, healthy, cut
+    --behaviour JSON   slots, service_ms, cold_ms, shed, healthy, lag_ms, draining, cut
+    --connections N    connections at once; more wait [default: 20000]
 
 Prints one line with its address once it listens. The platform takes faults by
 POST /faults and tells its calls by GET /calls; the target takes its behaviour
-by POST /_/behaviour and tells its runs by GET /_/runs.
+by POST /_/behaviour and tells its runs, health and load by GET /_/runs,
+/_/health and /_/load.
 ";
 
 const CONNECTIONS: usize = 20_000;
@@ -53,6 +55,8 @@
     let listen: Option<SocketAddr> = args.opt_value_from_str("--listen")?;
     let listen = listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
     let behaviour: Option<String> = args.opt_value_from_str("--behaviour")?;
+    let connections: Option<usize> = args.opt_value_from_str("--connections")?;
+    let connections = connections.unwrap_or(CONNECTIONS);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
@@ -60,23 +64,28 @@
         Some("platform") => runtime.block_on(host(
             listen,
             Arc::new(PlatformServer(MemoryPlatform::default())),
+            connections,
         )),
         Some("target") => {
             let behaviour =
                 behaviour.map_or(Ok(Behaviour::default()), |b| serde_json::from_str(&b));
-            runtime.block_on(host(listen, Target::new(behaviour?)))
+            runtime.block_on(host(listen, Target::new(behaviour?), connections))
         }
         _ => anyhow::bail!("name a stand-in: platform or target; see --help"),
     }
 }
 
-async fn host<E: Endpoint>(listen: SocketAddr, endpoint: Arc<E>) -> anyhow::Result<()> {
+async fn host<E: Endpoint>(
+    listen: SocketAddr,
+    endpoint: Arc<E>,
+    connections: usize,
+) -> anyhow::Result<()> {
     let listener = TcpListener::bind(listen).await?;
     println!("listening {}", listener.local_addr()?);
     std::io::stdout().flush()?;
     let (stop, stopped) = watch::channel(false);
     let limits = ServeLimits {
-        connections: CONNECTIONS,
+        connections,
         drain: DRAIN,
     };
     let serving = tokio::spawn(serve(listener, endpoint, limits, stopped));
--- a/src/experiment/faults.rs
+++ b/src/experiment/faults.rs
@@ -30,6 +30,8 @@
     cold_ms: 0,
     shed: false,
     healthy: true,
+    lag_ms: 0,
+    draining: false,
     cut: false,
 };
 
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -47,6 +47,10 @@
     pub shed: bool,
     /// Whether the health page says that all is well.
     pub healthy: bool,
+    /// Time by which the health and load pages lag, in milliseconds.
+    pub lag_ms: u64,
+    /// Whether the target drains: it finishes its work and sheds what comes.
+    pub draining: bool,
     /// Whether answers are cut after their first half; they are sent without a length then.
     pub cut: bool,
 }
@@ -59,16 +63,36 @@
             cold_ms: 0,
             shed: false,
             healthy: true,
+            lag_ms: 0,
+            draining: false,
             cut: false,
         }
     }
 }
 
+/// What the health and load pages show.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Shown {
+    healthy: bool,
+    running: u32,
+}
+
+impl Default for Shown {
+    fn default() -> Self {
+        Shown {
+            healthy: true,
+            running: 0,
+        }
+    }
+}
+
 /// A target in this process.
 pub struct Target {
     behaviour: Mutex<Behaviour>,
     runs: Mutex<HashMap<String, u32>>,
     running: AtomicU32,
+    /// What the pages show, and since when.
+    shown: Mutex<(Instant, Shown)>,
     started: Instant,
 }
 
@@ -85,6 +109,7 @@
             behaviour: Mutex::new(behaviour),
             runs: Mutex::new(HashMap::new()),
             running: AtomicU32::new(0),
+            shown: Mutex::new((Instant::now(), Shown::default())),
             started: Instant::now(),
         })
     }
@@ -107,7 +132,7 @@
     async fn run(&self, request: Request<Body>) -> Response<Body> {
         let behaviour = *locked(&self.behaviour);
         let running = Running::new(&self.running);
-        if behaviour.shed || running.count > behaviour.slots {
+        if behaviour.shed || behaviour.draining || running.count > behaviour.slots {
             return empty(SHED_STATUS);
         }
         let id = header(&request, ID_HEADER).unwrap_or_else(|| "none".to_string());
@@ -131,6 +156,20 @@
         answer(&id, length, behaviour.cut)
     }
 
+    /// What the health and load pages show: the state as it was up to `lag_ms` ago.
+    fn pages(&self) -> Shown {
+        let behaviour = *locked(&self.behaviour);
+        let mut shown = locked(&self.shown);
+        if shown.0.elapsed() >= Duration::from_millis(behaviour.lag_ms) {
+            let now = Shown {
+                healthy: behaviour.healthy && !behaviour.draining,
+                running: self.running.load(Ordering::Acquire),
+            };
+            *shown = (Instant::now(), now);
+        }
+        shown.1
+    }
+
     fn service_time(&self, request: &Request<Body>, behaviour: Behaviour) -> Duration {
         let asked = parameter(request, "ms").unwrap_or(behaviour.service_ms);
         let cold = self.started.elapsed() < Duration::from_millis(behaviour.cold_ms);
@@ -153,14 +192,12 @@
 impl Endpoint for Target {
     async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
-            (&Method::GET, "/_/health") => {
-                let healthy = locked(&self.behaviour).healthy;
-                empty(if healthy {
-                    StatusCode::OK
-                } else {
-                    StatusCode::INTERNAL_SERVER_ERROR
-                })
-            }
+            (&Method::GET, "/_/health") => empty(if self.pages().healthy {
+                StatusCode::OK
+            } else {
+                StatusCode::INTERNAL_SERVER_ERROR
+            }),
+            (&Method::GET, "/_/load") => json_response(StatusCode::OK, &self.pages()),
             (&Method::GET, "/_/runs") => json_response(StatusCode::OK, &self.runs()),
             (&Method::POST, "/_/behaviour") => self.control(request).await,
             _ => self.run(request).await,
