Mend: the gate's state is derived in one place

Cause, found by reading: whether the own gate is closed was decided twice, from a kept 'drained' flag and from health. Settings that were deleted while they drained left the target drained for ever, and any new version opened the gate of a target that was down. test_requests (leaving target, delete) failed on the first: no work within 30 s; it passes now. Change: refresh_gate derives slots and closing from settings and health, and the flag is gone; the dump shows why a gate is closed. The command line takes shared options in one place (connect). No figure of speed is claimed.

--- a/src/cmd/change.rs
+++ b/src/cmd/change.rs
@@ -3,8 +3,7 @@
 use std::ffi::OsString;
 
 use super::history::row;
-use crate::config::Config;
-use crate::util::{Api, CliError, CliResult, arguments, block_on, table, words};
+use crate::util::{Api, CliError, CliResult, block_on, connect, table};
 
 const USAGE: &str = "
 Shows whether a change was accepted, and as which version.
@@ -19,10 +18,8 @@
 
 /// Runs the subcommand.
 pub fn run(argv: Vec<OsString>) -> CliResult<()> {
-    let mut args = arguments(argv, USAGE)?;
-    let config = Config::take(&mut args)?;
+    let (config, words) = connect(argv, USAGE)?;
     let json = config.json;
-    let words = words(args)?;
     let [verb, id] = &words[..] else {
         return Err(CliError::Usage(
             "write `tarragon change show ID`".to_string(),
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -5,8 +5,7 @@
 use tarragoncourse::protocol::wire::WireEntry;
 use tarragoncourse::state::settings::show;
 
-use crate::config::Config;
-use crate::util::{Api, CliResult, arguments, block_on, words};
+use crate::util::{Api, CliResult, block_on, connect};
 
 const USAGE: &str = "
 Prints the settings in force at one node, as YAML that `tarragon apply` takes.
@@ -23,10 +22,8 @@
 
 /// Runs the subcommand.
 pub fn run(argv: Vec<OsString>) -> CliResult<()> {
-    let mut args = arguments(argv, USAGE)?;
-    let config = Config::take(&mut args)?;
+    let (config, paths) = connect(argv, USAGE)?;
     let json = config.json;
-    let paths = words(args)?;
     block_on(async {
         let (version, mut entries) = Api::new(config).config().await?;
         entries.retain(|e| paths.is_empty() || paths.iter().any(|p| is_under(e.path.as_str(), p)));
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -5,8 +5,7 @@
 
 use serde_json::Value;
 
-use crate::config::Config;
-use crate::util::{Api, CliResult, arguments, block_on, table, words};
+use crate::util::{Api, CliResult, block_on, connect, table};
 
 const USAGE: &str = "
 Shows each node with its state and version, and each service with its targets, as
@@ -22,10 +21,8 @@
 
 /// Runs the subcommand.
 pub fn run(argv: Vec<OsString>) -> CliResult<()> {
-    let mut args = arguments(argv, USAGE)?;
-    let config = Config::take(&mut args)?;
+    let (config, _) = connect(argv, USAGE)?;
     let json = config.json;
-    words(args)?;
     block_on(async {
         let api = Api::new(config);
         let page = api.get("/v1/status").await?;
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -196,6 +196,11 @@
         }
     }
 
+    /// Why new work is refused, if it is.
+    pub fn closed(&self) -> Option<NotRun> {
+        self.closed
+    }
+
     /// Follows a raised incarnation of the node.
     pub fn set_incarnation(&mut self, incarnation: Incarnation) {
         self.incarnation = incarnation;
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -15,6 +15,7 @@
 use crate::protocol::datagram::{DATAGRAM_MAX, Datagram, Opener};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::state::id::Version;
+use crate::state::member::Health;
 use crate::state::snapshot::{Delta, Snapshot};
 use crate::transport::link::ask;
 use crate::transport::platform::Platform;
@@ -226,7 +227,7 @@
         let table = self.routing.load().rebuild(snapshot, members.table());
         self.routing.store(Arc::new(table));
         drop(members);
-        self.apply_target_settings();
+        self.refresh_gate();
         log::info!(
             "in force version={} digest={:?}",
             snapshot.version(),
@@ -244,17 +245,20 @@
         self.routing.store(Arc::new(table));
     }
 
-    /// Brings the own gate in line with the operators' settings of the own target.
-    fn apply_target_settings(&self) {
+    /// Brings the own gate in line with the operators' settings and the target's health.
+    pub(super) fn refresh_gate(&self) {
+        let health = lock(&self.members).own().health;
         let table = self.routing.load();
-        let Some(settings) = table.target(&self.settings.instance) else {
-            return;
+        let settings = table.target(&self.settings.instance);
+        let own = self.settings.target.as_ref().map_or(1, |t| t.slots);
+        let closed = match (settings.is_some_and(|t| t.drained), health) {
+            (true, _) => Some(NotRun::Leaving),
+            (false, Health::Down) => Some(NotRun::Unreachable),
+            (false, _) => None,
         };
-        let mut state = lock(&self.gate);
-        state.gate.set_slots(settings.slots);
-        state.drained = settings.drained;
-        let closed = settings.drained.then_some(NotRun::Leaving);
-        state.gate.set_closed(closed);
+        let gate = &mut lock(&self.gate).gate;
+        gate.set_slots(settings.map_or(own, |t| t.slots));
+        gate.set_closed(closed);
     }
 
     pub(super) fn send_members(&self, out: Outbox) {
--- a/src/node/dump.rs
+++ b/src/node/dump.rs
@@ -158,7 +158,7 @@
         let counts = state.gate.counts();
         json!({
             "incarnation": state.gate.incarnation().0,
-            "drained": state.drained,
+            "closed": state.gate.closed().map(|r| r.to_string()),
             "leaving": state.gate.is_leaving(),
             "running": state.gate.running(),
             "waiting": state.gate.waiting(),
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -39,7 +39,6 @@
 /// The gate and those who wait at it, under one lock.
 pub(super) struct GateState {
     pub(super) gate: Gate,
-    pub(super) drained: bool,
     waiters: HashMap<AttemptId, oneshot::Sender<Result<(), NotRun>>>,
 }
 
@@ -47,7 +46,6 @@
     pub(super) fn new(gate: Gate) -> GateState {
         GateState {
             gate,
-            drained: false,
             waiters: HashMap::new(),
         }
     }
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -10,7 +10,6 @@
 
 use super::{Node, lock};
 use crate::coordination::health::{TARGET_PROBE, TargetProbe};
-use crate::coordination::outcome::NotRun;
 use crate::node::config::TargetAddress;
 use crate::state::member::Health;
 use crate::transport::platform::Platform;
@@ -90,12 +89,6 @@
             return;
         }
         log::info!("target health={health} before={before}");
-        let mut state = lock(&self.gate);
-        let reason = match (state.drained, health) {
-            (true, _) => Some(NotRun::Leaving),
-            (false, Health::Down) => Some(NotRun::Unreachable),
-            _ => None,
-        };
-        state.gate.set_closed(reason);
+        self.refresh_gate();
     }
 }
--- a/src/util.rs
+++ b/src/util.rs
@@ -100,6 +100,13 @@
     }
 }
 
+/// The shared options and the words of a subcommand that has no options of its own.
+pub fn connect(argv: Vec<OsString>, usage: &'static str) -> CliResult<(Config, Vec<String>)> {
+    let mut args = arguments(argv, usage)?;
+    let config = Config::take(&mut args)?;
+    Ok((config, words(args)?))
+}
+
 /// The one word that a subcommand takes.
 pub fn one_word(args: Arguments, what: &str) -> CliResult<String> {
     let mut words = words(args)?;
--- a/tests/test_requests.rs
+++ b/tests/test_requests.rs
@@ -112,17 +112,24 @@
     fleet
         .w
         .ok(entry, &["drain", "--back", "guild/targets/cutbook-0"]);
-    until("the target takes work again", || {
-        http(
-            fleet.entries[0].callers,
-            "GET",
-            "guild.example",
-            "/stock",
-            &[],
-            "",
-        );
-        fleet.runs_of(0) > before
-    });
+    let takes_work = |before: u32| {
+        until("the target takes work again", || {
+            http(
+                fleet.entries[0].callers,
+                "GET",
+                "guild.example",
+                "/stock",
+                &[],
+                "",
+            );
+            fleet.runs_of(0) > before
+        });
+    };
+    takes_work(before);
+    // Settings that are gone drain nothing.
+    fleet.w.ok(entry, &["drain", "guild/targets/cutbook-0"]);
+    fleet.w.ok(entry, &["delete", "guild/targets/cutbook-0"]);
+    takes_work(fleet.runs_of(0));
 }
 
 #[test]
