--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -314,6 +314,7 @@
 
     fn propose(&self, head: &Head, revision: u64, base: &Snapshot, digest: Digest) -> Proposal {
         let delta = Arc::new(Delta {
+            base: head.version,
             version: head.version.next(),
             digest,
             change: self.request.change,
--- a/src/coordination/distribution.rs
+++ b/src/coordination/distribution.rs
@@ -248,10 +248,9 @@
         if since >= self.held.version() {
             return Pulled::Nothing;
         }
-        let first = self.deltas.front().map(|d| d.version);
-        if since.0 > 0 && first.is_some_and(|f| f <= since.next()) {
-            let newer = self.deltas.iter().filter(|d| d.version > since);
-            return Pulled::Deltas(newer.cloned().collect());
+        let next = self.deltas.iter().position(|d| d.base == since);
+        if let Some(at) = next.filter(|_| since.0 > 0) {
+            return Pulled::Deltas(self.deltas.iter().skip(at).cloned().collect());
         }
         Pulled::Whole(self.held.clone())
     }
@@ -360,7 +359,7 @@
             if last.is_some_and(|l| d.version <= l) {
                 continue;
             }
-            if last.is_some_and(|l| d.version != l.next()) {
+            if last.is_some_and(|l| d.base != l) {
                 self.deltas.clear();
             }
             self.deltas.push_back(d);
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -1,4 +1,4 @@
-//! The gate before one target: admits into slots, queues by class, refuses, and voids.
+//! The gate before one target: admits into slots, queues by priority, refuses, and voids.
 //!
 //! The gate alone may say *not run* for an attempt that reached it. It remembers attempts for a
 //! window, so that an ingress whose link broke can have an attempt voided or learn its fate.
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::outcome::{NotRun, Outcome};
+use super::queue::{Entry, Queue, Room, Waiting};
 use crate::state::id::{AttemptId, Incarnation};
 use crate::state::object::Class;
 
@@ -20,22 +21,10 @@
 pub const ATTEMPT_AGE_MAX: Duration = Duration::from_secs(30);
 /// Most attempts remembered; further ones are refused.
 pub const MEMORY_MAX: usize = 200_000;
-/// Waiting attempts of one class, for each slot.
-const QUEUE_PER_SLOT: usize = 8;
 /// Share of the slots that bulk transfers may hold at once.
 const BULK_SHARE: f64 = 0.5;
-/// Every so many dispatches, the attempt that waits longest goes first, whatever its class.
-const FAIR_EVERY: u32 = 8;
-/// Weight of the newest sample in the mean service time.
-const MEAN_WEIGHT: f64 = 0.1;
 /// Factor on the limit when the target sheds.
 const SHED_FACTOR: f64 = 0.8;
-/// Factor on the limit when the target has slowed down under load.
-const SLOW_FACTOR: f64 = 0.95;
-/// A service time beyond this multiple of the best seen counts as slowed down.
-const SLOW_RATIO: f64 = 3.0;
-/// Growth of the best service time at each sample, so that it follows a changed target.
-const BEST_DRIFT: f64 = 1.001;
 
 /// An attempt that asks to be run.
 #[derive(Clone, Copy, Debug)]
@@ -44,8 +33,12 @@
     pub attempt: AttemptId,
     /// The life of the gate that the sender means.
     pub incarnation: Incarnation,
-    /// Priority.
+    /// What kind of work it is.
     pub class: Class,
+    /// Rank; zero is the highest.
+    pub priority: u8,
+    /// When its latency objective passes.
+    pub objective: Option<Instant>,
     /// Time since the sender sent it, by wall clocks.
     pub age: Duration,
     /// When the caller's deadline passes.
@@ -93,18 +86,15 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Fate {
     Waiting,
-    Running { since: Instant, class: Class },
+    Running {
+        since: Instant,
+        class: Class,
+        priority: u8,
+    },
     Ended(Outcome),
     Fenced,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    attempt: AttemptId,
-    since: Instant,
-    deadline: Instant,
-}
-
 /// Counts of the gate's decisions since start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GateCounts {
@@ -126,14 +116,11 @@
     limit: f64,
     running: u32,
     bulk: u32,
-    queues: [VecDeque<Waiting>; 4],
+    queue: Queue,
     fates: HashMap<AttemptId, Fate>,
     ages: VecDeque<(Instant, AttemptId)>,
     leaving: bool,
     closed: Option<NotRun>,
-    dispatches: u32,
-    mean: f64,
-    best: f64,
     counts: GateCounts,
 }
 
@@ -146,14 +133,11 @@
             limit: f64::from(slots),
             running: 0,
             bulk: 0,
-            queues: Default::default(),
+            queue: Queue::default(),
             fates: HashMap::new(),
             ages: VecDeque::new(),
             leaving: false,
             closed: None,
-            dispatches: 0,
-            mean: 0.0,
-            best: 0.0,
             counts: GateCounts::default(),
         }
     }
@@ -165,7 +149,7 @@
 
     /// Attempts that wait.
     pub fn waiting(&self) -> usize {
-        self.queues.iter().map(VecDeque::len).sum()
+        self.queue.len()
     }
 
     /// The present limit on attempts at the target.
@@ -175,7 +159,12 @@
 
     /// Mean service time.
     pub fn mean(&self) -> Duration {
-        Duration::from_secs_f64(self.mean)
+        self.queue.mean()
+    }
+
+    /// Time until an attempt of a priority that comes now would be handed over.
+    pub fn backlog(&self, priority: u8) -> Duration {
+        self.queue.wait(priority, self.room())
     }
 
     /// Counts of decisions.
@@ -214,13 +203,14 @@
     /// Refuses all new work from now on, and what waits.
     pub fn leave(&mut self) -> Wakes {
         self.leaving = true;
-        let mut wakes = Wakes::new();
-        for class in Class::ALL {
-            while let Some(w) = self.queues[class as usize].pop_front() {
-                wakes.push(self.refuse_waiting(w.attempt, NotRun::Leaving));
-            }
-        }
-        wakes
+        self.turn_away(NotRun::Leaving)
+    }
+
+    /// Refuses all that waits.
+    pub fn turn_away(&mut self, reason: NotRun) -> Wakes {
+        let waiting = self.queue.clear();
+        let refuse = |a| self.refuse_waiting(a, reason);
+        waiting.into_iter().map(refuse).collect()
     }
 
     /// Whether the gate is stopping.
@@ -251,11 +241,7 @@
             return (Admission::Refuse(reason), Wakes::new());
         }
         self.remember(offer.attempt, Fate::Waiting, now);
-        self.queues[offer.class as usize].push_back(Waiting {
-            attempt: offer.attempt,
-            since: now,
-            deadline: offer.deadline,
-        });
+        self.queue.push(waiting(&offer, now));
         let mut wakes = self.dispatch(now);
         let own = wakes.iter().position(|w| *w == Wake::Run(offer.attempt));
         match own {
@@ -269,13 +255,18 @@
 
     /// An attempt at the target ended. Returns who runs next.
     pub fn finish(&mut self, attempt: AttemptId, outcome: Outcome, now: Instant) -> Wakes {
-        let Some(Fate::Running { since, class }) = self.fates.get(&attempt).copied() else {
+        let Some(Fate::Running {
+            since,
+            class,
+            priority,
+        }) = self.fates.get(&attempt).copied()
+        else {
             return Wakes::new();
         };
         self.fates.insert(attempt, Fate::Ended(outcome));
         self.running -= 1;
         self.bulk -= u32::from(class == Class::Bulk);
-        self.learn(class, outcome, now - since);
+        self.learn(class, priority, outcome, now - since);
         self.dispatch(now)
     }
 
@@ -283,23 +274,14 @@
     pub fn abandon(&mut self, attempt: AttemptId) {
         if self.fates.get(&attempt) == Some(&Fate::Waiting) {
             self.fates.insert(attempt, Fate::Fenced);
-            self.unqueue(attempt);
+            self.queue.remove(attempt);
         }
     }
 
     /// Refuses waiting attempts whose deadline has passed.
     pub fn expire(&mut self, now: Instant) -> Wakes {
         self.forget(now);
-        let mut due = Vec::new();
-        for queue in &mut self.queues {
-            due.extend(
-                queue
-                    .iter()
-                    .filter(|w| w.deadline <= now)
-                    .map(|w| w.attempt),
-            );
-            queue.retain(|w| w.deadline > now);
-        }
+        let due = self.queue.expire(now);
         let refuse = |a| self.refuse_waiting(a, NotRun::Deadline);
         due.into_iter().map(refuse).collect()
     }
@@ -321,7 +303,7 @@
             Some(Fate::Fenced) => (Voided::Fenced, none),
             Some(Fate::Waiting) => {
                 self.counts.voided += 1;
-                self.unqueue(attempt);
+                self.queue.remove(attempt);
                 let wake = self.refuse_waiting(attempt, NotRun::Voided);
                 (Voided::Fenced, vec![wake])
             }
@@ -356,72 +338,46 @@
         if self.closed.is_some() {
             return self.closed;
         }
-        if now + self.expected_wait(offer.class) >= offer.deadline {
-            return Some(NotRun::Deadline);
-        }
-        let most = self.slots as usize * QUEUE_PER_SLOT;
-        let full = self.queues[offer.class as usize].len() >= most;
-        full.then_some(NotRun::QueueFull)
-    }
-
-    /// Time until an attempt of the class is handed over, from the queue ahead of it.
-    fn expected_wait(&self, class: Class) -> Duration {
-        if self.has_room(class) && self.waiting() == 0 {
-            return Duration::ZERO;
+        match self.queue.admit(&waiting(offer, now), self.room(), now) {
+            Entry::Enter => None,
+            Entry::Refuse(reason) => Some(reason),
         }
-        let ahead: usize = self.queues[..=class as usize]
-            .iter()
-            .map(VecDeque::len)
-            .sum();
-        Duration::from_secs_f64((ahead + 1) as f64 * self.mean / self.limit.max(1.0))
     }
 
-    fn has_room(&self, class: Class) -> bool {
-        if class == Class::Bulk && self.bulk >= self.bulk_limit() {
-            return false;
+    fn room(&self) -> Room {
+        Room {
+            running: self.running,
+            limit: self.limit(),
+            bulk: self.bulk < self.bulk_limit(),
         }
-        self.running < self.limit()
     }
 
     fn bulk_limit(&self) -> u32 {
         ((self.limit * BULK_SHARE) as u32).max(1)
     }
 
-    fn hand(&mut self, attempt: AttemptId, class: Class, now: Instant) {
+    fn hand(&mut self, next: &Waiting, now: Instant) {
         self.running += 1;
-        self.bulk += u32::from(class == Class::Bulk);
+        self.bulk += u32::from(next.class == Class::Bulk);
         self.counts.handed += 1;
-        let since = now;
-        self.fates.insert(attempt, Fate::Running { since, class });
+        let fate = Fate::Running {
+            since: now,
+            class: next.class,
+            priority: next.priority,
+        };
+        self.fates.insert(next.attempt, fate);
     }
 
     fn dispatch(&mut self, now: Instant) -> Wakes {
         let mut wakes = self.expire(now);
-        while self.running < self.limit() {
-            let Some(class) = self.next_class() else {
-                break;
-            };
-            let waiting = self.queues[class as usize].pop_front();
-            let attempt = waiting.expect("the class has a waiting attempt").attempt;
-            self.hand(attempt, class, now);
-            wakes.push(Wake::Run(attempt));
+        while let Some(next) = self.queue.next(self.room(), now) {
+            self.hand(&next, now);
+            wakes.push(Wake::Run(next.attempt));
         }
         wakes
     }
 
-    fn next_class(&mut self) -> Option<Class> {
-        let ready = |c: &Class| !self.queues[*c as usize].is_empty() && self.has_room(*c);
-        let urgent = Class::ALL.into_iter().find(ready)?;
-        let since = |c: &Class| self.queues[*c as usize].front().map(|w| w.since);
-        let oldest = Class::ALL.into_iter().filter(ready).min_by_key(since);
-        self.dispatches = self.dispatches.wrapping_add(1);
-        if self.dispatches.is_multiple_of(FAIR_EVERY) {
-            return oldest;
-        }
-        Some(urgent)
-    }
-
-    fn learn(&mut self, class: Class, outcome: Outcome, took: Duration) {
+    fn learn(&mut self, class: Class, priority: u8, outcome: Outcome, took: Duration) {
         if outcome == Outcome::NotRun(NotRun::Shed) {
             self.counts.shed += 1;
             self.limit = (self.limit * SHED_FACTOR).max(1.0);
@@ -430,24 +386,9 @@
         if outcome != Outcome::Answered || class == Class::Bulk {
             return;
         }
-        let took = took.as_secs_f64();
-        if self.mean == 0.0 {
-            (self.mean, self.best) = (took, took);
-        }
-        self.mean += (took - self.mean) * MEAN_WEIGHT;
-        self.best = (self.best * BEST_DRIFT).min(took).max(0.001);
-        let full = f64::from(self.running + 1) >= self.limit.floor();
-        if full && self.mean > self.best * SLOW_RATIO {
-            self.limit = (self.limit * SLOW_FACTOR).max(self.least());
-        } else {
-            let grown = self.limit + 1.0 / self.limit;
-            self.limit = grown.min(f64::from(self.slots));
-        }
-    }
-
-    /// Slowness alone, which a varied mix of requests also shows, never takes over half the slots.
-    fn least(&self) -> f64 {
-        (f64::from(self.slots) / 2.0).max(1.0)
+        self.queue.learn(priority, took);
+        let grown = self.limit + 1.0 / self.limit;
+        self.limit = grown.min(f64::from(self.slots));
     }
 
     fn refuse_waiting(&mut self, attempt: AttemptId, reason: NotRun) -> Wake {
@@ -456,12 +397,6 @@
         Wake::Refuse(attempt, reason)
     }
 
-    fn unqueue(&mut self, attempt: AttemptId) {
-        for queue in &mut self.queues {
-            queue.retain(|w| w.attempt != attempt);
-        }
-    }
-
     fn remember(&mut self, attempt: AttemptId, fate: Fate, now: Instant) {
         self.fates.insert(attempt, fate);
         self.ages.push_back((now, attempt));
@@ -486,3 +421,14 @@
         }
     }
 }
+
+fn waiting(offer: &Offer, now: Instant) -> Waiting {
+    Waiting {
+        attempt: offer.attempt,
+        class: offer.class,
+        priority: offer.priority,
+        since: now,
+        objective: offer.objective,
+        deadline: offer.deadline,
+    }
+}
--- a/src/coordination/members/mod.rs
+++ b/src/coordination/members/mod.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::state::id::{Incarnation, Path, Version};
-use crate::state::member::{Health, MemberTable, Merge, Record, TABLE_BUCKETS};
+use crate::state::member::{Beside, Health, MemberTable, Merge, Record, TABLE_BUCKETS};
 
 /// Interval between retries of one gone member.
 pub const REPAIR_PERIOD: Duration = Duration::from_secs(5);
@@ -131,6 +131,8 @@
     next_compare: Instant,
     next_exchange: Instant,
     exchange_with: Option<SocketAddr>,
+    /// What an earlier life of this node published of its target.
+    past: Option<Beside>,
     last_tick: Instant,
     counts: MemberCounts,
 }
@@ -163,6 +165,7 @@
             next_compare: now,
             next_exchange: now,
             exchange_with: None,
+            past: None,
             last_tick: now,
             counts: MemberCounts::default(),
         }
@@ -188,6 +191,12 @@
         self.awareness
     }
 
+    /// What an earlier life of this node published of its target, if a peer told of it since the
+    /// last call.
+    pub fn take_past(&mut self) -> Option<Beside> {
+        self.past.take()
+    }
+
     /// Services whose targets changed since the last call.
     pub fn take_changed(&mut self) -> BTreeSet<Path> {
         std::mem::take(&mut self.changed)
@@ -322,6 +331,9 @@
 
     fn take(&mut self, record: &Record, now: Instant) -> bool {
         if record.peer == self.own.peer {
+            if record.incarnation < self.own.incarnation {
+                self.past = record.target.clone();
+            }
             self.refute(record);
             return false;
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! [`tokio::time::Instant`] and randomness as a seeded [`fastrand::Rng`], so that every run can
 //! be repeated.
 
+pub mod announce;
 pub mod budget;
 pub mod claims;
 pub mod commit;
@@ -13,5 +14,7 @@
 pub mod members;
 pub mod outcome;
 pub mod pick;
+pub mod queue;
 pub mod retry;
 pub mod slots;
+pub mod split;
--- a/src/coordination/outcome.rs
+++ b/src/coordination/outcome.rs
@@ -35,6 +35,12 @@
     /// The target said that it shed the request.
     #[display("shed")]
     Shed,
+    /// Another target than the one meant answered at the address.
+    #[display("misdirected")]
+    Misdirected,
+    /// The target beside the gate has not said yet that it takes work.
+    #[display("unannounced")]
+    Unannounced,
     /// The service has no target that takes work.
     #[display("no-target")]
     NoTarget,
@@ -53,7 +59,7 @@
 }
 
 impl NotRun {
-    const ALL: [NotRun; 14] = [
+    const ALL: [NotRun; 16] = [
         NotRun::Unreachable,
         NotRun::Leaving,
         NotRun::QueueFull,
@@ -63,12 +69,19 @@
         NotRun::Stale,
         NotRun::NotAuthentic,
         NotRun::Shed,
+        NotRun::Misdirected,
+        NotRun::Unannounced,
         NotRun::NoTarget,
         NotRun::ClaimUnavailable,
         NotRun::NotReady,
         NotRun::CallerGone,
         NotRun::Overloaded,
     ];
+
+    /// Whether the target itself refused, so that the attempt cost it something.
+    pub fn reached_target(self) -> bool {
+        matches!(self, NotRun::Shed | NotRun::Misdirected)
+    }
 }
 
 /// Why it is not known whether a request ran.
@@ -80,6 +93,9 @@
     /// The target's connection broke after the request was handed over.
     #[display("target-broken")]
     TargetBroken,
+    /// What arrived is no whole answer to this request.
+    #[display("stray-answer")]
+    Stray,
     /// The deadline passed after the request was handed over.
     #[display("timeout")]
     Timeout,
@@ -92,9 +108,10 @@
 }
 
 impl Doubt {
-    const ALL: [Doubt; 5] = [
+    const ALL: [Doubt; 6] = [
         Doubt::LinkBroken,
         Doubt::TargetBroken,
+        Doubt::Stray,
         Doubt::Timeout,
         Doubt::Repeated,
         Doubt::KeyInDoubt,
@@ -116,6 +133,14 @@
 }
 
 impl Outcome {
+    /// Whether the request may have arrived at the target.
+    pub fn reached_target(self) -> bool {
+        match self {
+            Outcome::NotRun(reason) => reason.reached_target(),
+            Outcome::Answered | Outcome::Unknown(_) => true,
+        }
+    }
+
     /// Reads the value of [`OUTCOME_HEADER`].
     ///
     /// ```
--- a/src/coordination/pick.rs
+++ b/src/coordination/pick.rs
@@ -138,6 +138,17 @@
     Abandoned,
 }
 
+/// What a request asks of its target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wanted<'a> {
+    /// Availability zone of the ingress.
+    pub zone: &'a str,
+    /// Targets that were tried before.
+    pub tried: &'a [SocketAddr],
+    /// Length of the request's body, in bytes.
+    pub bytes: u64,
+}
+
 /// The picker of one node, with what it has seen of each target.
 #[derive(Debug)]
 pub struct Picker {
@@ -165,10 +176,10 @@
     pub fn pick<'a>(
         &mut self,
         candidates: &'a [Candidate],
-        zone: &str,
-        tried: &[SocketAddr],
+        wanted: Wanted<'_>,
         now: Instant,
     ) -> Option<&'a Candidate> {
+        let Wanted { zone, tried, .. } = wanted;
         self.sync(candidates, now);
         let open: SmallVec<[&Candidate; 16]> = candidates
             .iter()
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -1,16 +1,25 @@
 //! Whether to try a request again: only on evidence, within the deadline and a retry budget.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::outcome::{NotRun, Outcome};
+use crate::state::id::Path;
 use crate::state::object::Idempotency;
 
-/// Retries earned by each request that was answered.
+/// Retries earned by each request that was answered, by default.
 const EARNED_PER_ANSWER: f64 = 0.1;
-/// Retries that a quiet node may make at once.
+/// Retries that a quiet node may make at once, by default.
 const BUDGET_MAX: f64 = 20.0;
+/// Share of the fleet's allowance that nodes plan with: calls that a repeated run makes count too,
+/// and windows slide.
+const ALLOWANCE_SHARE: f64 = 0.5;
+/// Gates tried that refused without handing the request to their target.
+const BOUNCES_MAX: u8 = 3;
+/// Shortest time after which a refused caller is asked to come back.
+const COME_BACK_MIN: Duration = Duration::from_millis(30);
 /// Base of the back-off between attempts.
 const BACK_OFF_BASE: Duration = Duration::from_millis(5);
 /// Longest back-off between attempts.
@@ -20,18 +29,88 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     tokens: f64,
+    allowance: Allowance,
+}
+
+/// How many retries a budget grants.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Retries earned by each answered request.
+    pub earned: f64,
+    /// Most retries at once.
+    pub most: f64,
+}
+
+impl Default for Allowance {
+    fn default() -> Self {
+        Allowance {
+            earned: EARNED_PER_ANSWER,
+            most: BUDGET_MAX,
+        }
+    }
+}
+
+impl Allowance {
+    /// One node's part of what a fleet may repeat of a service's requests within a window:
+    /// `ratio` of them and `slack` more.
+    pub fn of_fleet(ratio: f64, slack: f64, nodes: usize) -> Allowance {
+        Allowance {
+            earned: ratio * ALLOWANCE_SHARE,
+            most: (slack * ALLOWANCE_SHARE / nodes.max(1) as f64).max(1.0),
+        }
+    }
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        RetryBudget { tokens: BUDGET_MAX }
+        RetryBudget::new(Allowance::default())
+    }
+}
+
+/// The budgets of one node, one for each service.
+#[derive(Debug, Default)]
+pub struct RetryBudgets {
+    allowance: Allowance,
+    services: HashMap<Path, RetryBudget>,
+}
+
+impl RetryBudgets {
+    /// Follows a changed allowance.
+    pub fn set(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+        for budget in self.services.values_mut() {
+            budget.allowance = allowance;
+        }
+    }
+
+    /// The budget of a service.
+    pub fn of(&mut self, service: &Path) -> &mut RetryBudget {
+        let fresh = || RetryBudget::new(self.allowance);
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), fresh());
+        }
+        self.services.get_mut(service).expect("inserted above")
+    }
+
+    /// Retries left, over all services.
+    pub fn left(&self) -> f64 {
+        self.services.values().map(RetryBudget::left).sum()
     }
 }
 
 impl RetryBudget {
+    /// A full budget.
+    pub fn new(allowance: Allowance) -> RetryBudget {
+        RetryBudget {
+            tokens: allowance.most,
+            allowance,
+        }
+    }
+
     /// Counts an answered request.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + EARNED_PER_ANSWER).min(BUDGET_MAX);
+        let Allowance { earned, most } = self.allowance;
+        self.tokens = (self.tokens + earned).min(most);
     }
 
     /// Takes one retry, if there is one.
@@ -63,8 +142,10 @@
     pub idempotent: bool,
     /// Whether the whole request can be sent again.
     pub replayable: bool,
-    /// Attempts made, this one included.
+    /// Attempts that reached a target, this one included.
     pub made: u8,
+    /// Attempts that no target saw, this one included.
+    pub bounced: u8,
     /// Most attempts allowed.
     pub allowed: u8,
     /// When the caller's deadline passes.
@@ -88,11 +169,12 @@
     rng: &mut fastrand::Rng,
     now: Instant,
 ) -> Next {
-    if !may_repeat(outcome, trial) || trial.made >= trial.allowed {
+    if !may_repeat(outcome, trial) || trial.made >= trial.allowed || trial.bounced > BOUNCES_MAX {
         return Next::Finish;
     }
     let wait = back_off(outcome, trial.made, rng);
-    if now + wait >= trial.deadline || !budget.spend() {
+    let free = !outcome.reached_target();
+    if now + wait >= trial.deadline || !(free || budget.spend()) {
         return Next::Finish;
     }
     Next::Retry(wait)
@@ -102,25 +184,39 @@
 fn may_repeat(outcome: Outcome, trial: Trial) -> bool {
     let permitted = match outcome {
         Outcome::Answered => false,
-        Outcome::NotRun(NotRun::Deadline | NotRun::CallerGone | NotRun::NotReady) => false,
+        Outcome::NotRun(NotRun::CallerGone | NotRun::NotReady | NotRun::NoTarget) => false,
+        Outcome::NotRun(NotRun::Deadline) => false,
         Outcome::NotRun(_) => true,
         Outcome::Unknown(_) => trial.idempotent,
     };
     permitted && trial.replayable
 }
 
-/// A target that could not be reached needs no wait; one that is overloaded does.
+/// A gate that refused needs no wait before another is tried; a target that failed does.
 fn back_off(outcome: Outcome, made: u8, rng: &mut fastrand::Rng) -> Duration {
-    if matches!(
-        outcome,
-        Outcome::NotRun(NotRun::Unreachable | NotRun::Leaving | NotRun::Incarnation)
-    ) {
+    if !outcome.reached_target() {
         return Duration::ZERO;
     }
     let ceiling = BACK_OFF_BASE * 2u32.saturating_pow(u32::from(made.min(8)));
     ceiling.min(BACK_OFF_MAX).mul_f64(rng.f64())
 }
 
+/// When a caller whose request did not run may come back: once the gate that is nearest to it may
+/// have room, spread so that those refused together do not return together, and early enough that
+/// it still has most of its time.
+///
+/// ```
+/// use std::time::Duration;
+/// use tarragoncourse::coordination::retry::come_back;
+/// let ms = Duration::from_millis;
+/// assert_eq!(come_back(ms(90), ms(900), 0.0), ms(90));
+/// assert_eq!(come_back(ms(900), ms(900), 0.5), ms(300));
+/// ```
+pub fn come_back(backlog: Duration, left: Duration, spread: f64) -> Duration {
+    let wait = backlog.max(COME_BACK_MIN).mul_f64(1.0 + spread);
+    wait.min(left / 3)
+}
+
 /// Whether a request may run more than once, by its route and method (RFC 9110, section 9.2.2).
 ///
 /// ```
--- a/src/experiment/claims.rs
+++ b/src/experiment/claims.rs
@@ -8,11 +8,13 @@
 
 use super::latency::{ready_fleet, service_path};
 use super::{Report, rounded};
+use smallvec::smallvec;
+
 use crate::coordination::commit::Verdict;
 use crate::load::{LoadPlan, LoadRoute, Told, run as send};
 use crate::standin::target::Behaviour;
 use crate::state::id::Path;
-use crate::state::object::{Class, Idempotency, Object, Route};
+use crate::state::object::{Class, Idempotency, Object, Part, Route};
 use crate::state::snapshot::Edit;
 
 /// How long each rate is sent.
@@ -86,8 +88,10 @@
         host: None,
         prefix: "/keyed".to_string(),
         methods: Default::default(),
-        service: service_path(),
+        parts: smallvec![Part::whole(service_path())],
         class: Class::Order,
+        priority: Class::Order.priority(),
+        objective: None,
         deadline: Duration::from_secs(5),
         attempts: 3,
         idempotency: Idempotency::Never,
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -64,6 +64,7 @@
             address,
             service: service.clone(),
             slots: behaviour.slots,
+            announced: false,
         };
         self.add_node(Some(beside)).await?;
         self.targets.push(PlacedTarget {
@@ -108,6 +109,7 @@
             address: target.address,
             service: target.service.clone(),
             slots: target.target.slots(),
+            announced: false,
         };
         let running = RunningNode::start(settings(at, Some(beside)), self.platform.clone()).await?;
         std::mem::replace(&mut self.nodes[at], running).kill();
@@ -188,6 +190,8 @@
             gate: any,
             callers: any,
             admin: any,
+            ready: None,
+            reports: None,
         },
         platform: any,
         fleet_key: "fleet key of an experiment".to_string(),
@@ -199,5 +203,8 @@
         join_jitter: Duration::from_millis(100),
         replay_body: 64 << 10,
         connections: 10_000,
+        leave_notice: Duration::from_millis(500),
+        workers: None,
+        retries: None,
     }
 }
--- a/src/experiment/latency.rs
+++ b/src/experiment/latency.rs
@@ -8,6 +8,7 @@
 use hdrhistogram::Histogram;
 use hyper::Request;
 use serde_json::Value;
+use smallvec::smallvec;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -18,7 +19,7 @@
 use crate::coordination::commit::Verdict;
 use crate::standin::target::Behaviour;
 use crate::state::id::Path;
-use crate::state::object::{Class, Idempotency, Object, Route, Service};
+use crate::state::object::{Class, Idempotency, Object, Part, Route, Service};
 use crate::state::snapshot::Edit;
 use crate::transport::client::HttpClient;
 use crate::transport::http::read_body;
@@ -73,8 +74,10 @@
             host: None,
             prefix: format!("/{class}"),
             methods: Default::default(),
-            service: service.clone(),
+            parts: smallvec![Part::whole(service.clone())],
             class,
+            priority: class.priority(),
+            objective: None,
             deadline: Duration::from_secs(10),
             attempts: 3,
             idempotency: Idempotency::ByMethod,
--- a/src/experiment/picking.rs
+++ b/src/experiment/picking.rs
@@ -14,7 +14,7 @@
 use super::{Report, rounded};
 use crate::coordination::gate::{Admission, Gate, Offer, Wake, Wakes};
 use crate::coordination::outcome::Outcome;
-use crate::coordination::pick::{Picker, Sign};
+use crate::coordination::pick::{Picker, Sign, Wanted};
 use crate::state::id::{AttemptId, Incarnation};
 use crate::state::member::Health;
 use crate::state::object::Class;
@@ -202,6 +202,8 @@
             attempt: AttemptId(id as u128),
             incarnation: Incarnation(1),
             class,
+            priority: class.priority(),
+            objective: None,
             age: Duration::ZERO,
             deadline: self.now + DEADLINE,
         };
@@ -227,7 +229,11 @@
                 order.min_by_key(|t| own[*t]).unwrap_or(0)
             }
             Way::TwoChoices => {
-                let picked = self.pickers[ingress].pick(&self.candidates, "a", &[], self.now);
+                let wanted = Wanted {
+                    zone: "a",
+                    ..Wanted::default()
+                };
+                let picked = self.pickers[ingress].pick(&self.candidates, wanted, self.now);
                 let peer = picked.map(|c| c.peer);
                 let place = self.candidates.iter().position(|c| Some(c.peer) == peer);
                 place.unwrap_or(0)
--- a/src/experiment/size.rs
+++ b/src/experiment/size.rs
@@ -102,6 +102,8 @@
         health: Health::Ready,
         watcher: false,
         target: Some(Beside {
+            report: (0, 0),
+            leaving: false,
             instance: format!("instance-{n}").into(),
             service: Path::new(&name).expect("a valid path"),
             slots: 12,
--- a/src/experiment/spread.rs
+++ b/src/experiment/spread.rs
@@ -173,6 +173,7 @@
         let base = Snapshot::default();
         let digest = base.preview(&edits).digest();
         let delta = Delta {
+            base: Version(0),
             version: Version(1),
             digest,
             change: ChangeId(1),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`coordination`], [`state`].
 
 pub mod coordination;
+pub mod daemon;
 pub mod experiment;
 pub mod load;
 pub mod logging;
--- a/src/node/answers.rs
+++ b/src/node/answers.rs
@@ -1,11 +1,16 @@
 //! What callers are told when a target's answer is not at hand.
 
+use std::time::Duration;
+
 use gotham::helpers::http::Body;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 
+use super::Node;
 use crate::coordination::outcome::{Doubt, NotRun, OUTCOME_HEADER, Outcome};
+use crate::protocol::dialect::Dialect;
 use crate::transport::http::{empty, full};
+use crate::transport::platform::Platform;
 
 /// Header that marks the stored outcome of an earlier request with the same key.
 const REPLAYED_HEADER: &str = "tarragon-replayed";
@@ -13,39 +18,28 @@
 /// An answer with the outcome that it tells.
 pub(super) type Told = (Response<Body>, Outcome);
 
-/// What a caller is told when there is no answer.
-pub(super) fn told(outcome: Outcome) -> Told {
-    let (status, remedy) = match outcome {
-        Outcome::Answered => (StatusCode::OK, ""),
-        Outcome::NotRun(NotRun::CallerGone) => (
-            StatusCode::BAD_REQUEST,
-            "the request's body broke off; send it whole",
-        ),
-        Outcome::NotRun(_) => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "it was not run; send it again later",
-        ),
-        Outcome::Unknown(Doubt::Timeout) => (
-            StatusCode::GATEWAY_TIMEOUT,
-            "it may have run; look before sending it again",
-        ),
-        Outcome::Unknown(Doubt::KeyInDoubt) => (
-            StatusCode::CONFLICT,
-            "an earlier request with this key may have run; look before sending a new one",
-        ),
-        Outcome::Unknown(_) => (
-            StatusCode::BAD_GATEWAY,
-            "it may have run; look before sending it again",
-        ),
-    };
-    let text = format!("{outcome}: {remedy}\n");
-    let mut response = full(status, "text/plain", text);
-    mark(&mut response, outcome);
-    if matches!(outcome, Outcome::NotRun(_)) {
-        let wait = HeaderValue::from_static("1");
-        response.headers_mut().insert(RETRY_AFTER, wait);
+impl<P: Platform> Node<P> {
+    /// What a caller is told when there is no answer. `wait` is the time after which it may come
+    /// back if its request did not run.
+    pub(super) fn told(&self, outcome: Outcome, wait: Duration) -> Told {
+        let text = format!("{outcome}: {}\n", remedy(outcome));
+        let mut response = full(StatusCode::OK, "text/plain", text);
+        let dialect = self.platform.dialect();
+        *response.status_mut() = dialect.tell(outcome, wait, response.headers_mut());
+        (response, outcome)
+    }
+}
+
+fn remedy(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "",
+        Outcome::NotRun(NotRun::CallerGone) => "the request's body broke off; send it whole",
+        Outcome::NotRun(_) => "it was not run; send it again later",
+        Outcome::Unknown(Doubt::KeyInDoubt) => {
+            "an earlier request with this key may have run; look before sending a new one"
+        }
+        Outcome::Unknown(_) => "it may have run; look before sending it again",
     }
-    (response, outcome)
 }
 
 /// The stored outcome of an earlier request with the same key.
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -60,6 +60,10 @@
                 Some(_) => json_response(StatusCode::OK, &node.dump()),
                 None => unauthorized(),
             },
+            (&Method::POST, ["v1", "apply" | "undo"]) if P::EXTERNAL => text(
+                StatusCode::CONFLICT,
+                "the platform's operator keeps the settings; change them there\n",
+            ),
             (&Method::POST, ["v1", "apply"]) => match node.author(&parts.headers) {
                 Some(author) => node.api_apply(author, body).await,
                 None => unauthorized(),
@@ -76,6 +80,15 @@
     }
 }
 
+/// Readiness alone, on an address of its own.
+pub(super) struct ReadyPage<P>(pub(super) Arc<Node<P>>);
+
+impl<P: Platform> Endpoint for ReadyPage<P> {
+    async fn call(self: Arc<Self>, _request: Request<Body>) -> Response<Body> {
+        self.0.api_ready()
+    }
+}
+
 impl<P: Platform> Node<P> {
     /// The team whose token a request bears.
     fn author(&self, headers: &HeaderMap) -> Option<String> {
--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -6,18 +6,22 @@
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use gotham::helpers::http::Body;
 use http_body::{Body as HttpBody, Frame, SizeHint};
-use hyper::HeaderMap;
+use http_body_util::BodyExt;
 use hyper::header::CONTENT_LENGTH;
+use hyper::{HeaderMap, Response};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::lock;
-use crate::transport::http::{full_body, header_number, read_body};
+use crate::protocol::dialect::header_number;
+use crate::transport::http::{full_body, read_body};
 
 /// Memory of a node for bodies that are kept whole, in bytes.
 const KEPT_BYTES: usize = 64 << 20;
+/// Largest answer that is kept whole before it is passed on, in bytes.
+pub(super) const ANSWER_KEPT: u64 = 64 << 10;
 /// Unit in which that memory is counted, in bytes.
 const KEPT_UNIT: u64 = 1024;
 
@@ -50,18 +54,28 @@
             }));
         }
         let length = header_number(headers, CONTENT_LENGTH.as_str());
-        match length.and_then(|n| self.reserve(n)) {
-            Some(room) => {
-                let bytes = read_body(body, self.largest as usize).await?;
-                let _room = Some(room);
-                Ok(SharedBody::Whole(Kept { bytes, _room }))
+        // Without a length the body may turn out to be as long as any.
+        match self.reserve(length.unwrap_or(self.largest)) {
+            Some(room) => self.keep(body, room).await,
+            None => Ok(SharedBody::once(length, body)),
+        }
+    }
+
+    /// Reads a body while it fits, and streams the rest of one that does not.
+    async fn keep(&self, mut body: Body, room: OwnedSemaphorePermit) -> io::Result<SharedBody> {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                bytes.extend_from_slice(&data);
             }
-            None => {
-                let body = Mutex::new(Some(body));
-                let failed = AtomicBool::new(false);
-                Ok(SharedBody::Once(Arc::new(Upload { body, failed })))
+            if bytes.len() as u64 > self.largest {
+                let read = full_body(bytes.freeze());
+                let rest = Body::new(Chained { read, rest: body });
+                return Ok(SharedBody::once(None, rest));
             }
         }
+        let (bytes, _room) = (bytes.freeze(), Some(room));
+        Ok(SharedBody::Whole(Kept { bytes, _room }))
     }
 
     fn reserve(&self, length: u64) -> Option<OwnedSemaphorePermit> {
@@ -89,12 +103,29 @@
 
 /// A caller's streamed body.
 pub(super) struct Upload {
+    length: Option<u64>,
     body: Mutex<Option<Body>>,
     /// Whether the caller broke off, or sent what is not a body.
     failed: AtomicBool,
 }
 
 impl SharedBody {
+    fn once(length: Option<u64>, body: Body) -> SharedBody {
+        SharedBody::Once(Arc::new(Upload {
+            length,
+            body: Mutex::new(Some(body)),
+            failed: AtomicBool::new(false),
+        }))
+    }
+
+    /// Length in bytes; zero where it is not known.
+    pub(super) fn length(&self) -> u64 {
+        match self {
+            SharedBody::Whole(kept) => kept.bytes.len() as u64,
+            SharedBody::Once(upload) => upload.length.unwrap_or(0),
+        }
+    }
+
     /// The body for one attempt.
     pub(super) fn open(&self) -> Body {
         match self {
@@ -163,3 +194,39 @@
         }
     }
 }
+
+/// What was read of a body, and the rest of it.
+struct Chained {
+    read: Body,
+    rest: Body,
+}
+
+impl HttpBody for Chained {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if !self.read.is_end_stream() {
+            return Pin::new(&mut self.read).poll_frame(cx);
+        }
+        Pin::new(&mut self.rest).poll_frame(cx)
+    }
+}
+
+/// Reads a short answer whole, so that one that breaks off is noticed before any of it is passed
+/// on. Longer ones, and those of unknown length, are streamed.
+///
+/// # Errors
+/// The answer broke off.
+pub(super) async fn whole(response: Response<Body>) -> io::Result<Response<Body>> {
+    let length = response.body().size_hint().exact();
+    if length.is_none_or(|l| l == 0 || l > ANSWER_KEPT) {
+        return Ok(response);
+    }
+    let (parts, body) = response.into_parts();
+    let bytes = read_body(body, ANSWER_KEPT as usize).await?;
+    Ok(Response::from_parts(parts, full_body(bytes)))
+}
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -16,6 +16,9 @@
 const CONNECTIONS_DEFAULT: usize = 10_000;
 /// Longest graceful stop, by default.
 const DRAIN_DEFAULT: Duration = Duration::from_secs(30);
+/// Time between the announcement of leaving and the closing of the listeners, by default, so that
+/// callers and other nodes turn away first.
+const NOTICE_DEFAULT: Duration = Duration::from_millis(500);
 /// Jitter before a joining node reads the platform, by default.
 const JITTER_DEFAULT: Duration = Duration::from_millis(200);
 /// Shortest fleet key, in bytes.
@@ -57,6 +60,23 @@
     /// Most connections of callers.
     #[serde(default = "connections")]
     pub connections: usize,
+    /// Time between the announcement of leaving and the closing of the listeners.
+    #[serde(default = "notice", deserialize_with = "duration")]
+    pub leave_notice: Duration,
+    /// Worker threads; one runs everything on one thread.
+    pub workers: Option<usize>,
+    /// What the whole fleet may repeat; a plain share of this node's answers if it is left out.
+    pub retries: Option<FleetRetries>,
+}
+
+/// What the whole fleet may send again of a service's requests within a window.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetRetries {
+    /// Share of the service's requests.
+    pub ratio: f64,
+    /// Repeats beyond the share.
+    pub slack: f64,
 }
 
 /// Where a node listens. Port zero lets the operating system choose.
@@ -71,6 +91,10 @@
     pub callers: SocketAddr,
     /// Operators.
     pub admin: SocketAddr,
+    /// A readiness page of its own, beside the operators' one.
+    pub ready: Option<SocketAddr>,
+    /// Reports of the target beside this node, where it announces itself.
+    pub reports: Option<SocketAddr>,
 }
 
 /// The target beside a node.
@@ -82,8 +106,13 @@
     /// Service that it belongs to.
     #[serde(deserialize_with = "path")]
     pub service: Path,
-    /// Requests that it runs at once, unless the operators' settings say otherwise.
+    /// Requests that it runs at once, unless the operators' settings or the target itself say
+    /// otherwise.
+    #[serde(default = "one_slot")]
     pub slots: u32,
+    /// Whether the target announces itself. Nothing is sent to it before it has.
+    #[serde(default)]
+    pub announced: bool,
 }
 
 /// Why a node's settings are refused.
@@ -162,6 +191,14 @@
     }
 }
 
+fn one_slot() -> u32 {
+    1
+}
+
+fn notice() -> Duration {
+    NOTICE_DEFAULT
+}
+
 fn info() -> log::LevelFilter {
     log::LevelFilter::Info
 }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -12,6 +12,7 @@
 use crate::coordination::distribution::{Action, Actions, PULL_TIMEOUT, Pulled};
 use crate::coordination::members::{Members, Message, Outbox};
 use crate::coordination::outcome::NotRun;
+use crate::coordination::retry::Allowance;
 use crate::protocol::datagram::{DATAGRAM_MAX, Datagram, Opener};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::state::id::Version;
@@ -81,6 +82,7 @@
         let mut actions = Actions::new();
         lock(&self.distribution).tick(&spares, now, &mut actions);
         self.execute(actions);
+        self.follow_target(now);
         self.refresh_targets();
         let mut state = lock(&self.gate);
         let wakes = state.gate.expire(now);
@@ -209,6 +211,9 @@
     pub(super) fn announce_peers(&self, first_hand: bool) -> Vec<SocketAddr> {
         let members = &mut lock(&self.members);
         let mut peers = match first_hand {
+            // Where every node reads the document itself, telling all would be as many messages
+            // as there are pairs.
+            true if P::EXTERNAL => relay_peers(members),
             true if members.table().alive() <= ANNOUNCE_ALL => members.peers().to_vec(),
             true => start_peers(members),
             false => relay_peers(members),
@@ -243,6 +248,17 @@
         }
         let table = self.routing.load().refresh(members.table(), &changed);
         self.routing.store(Arc::new(table));
+        drop(members);
+        self.refresh_allowance();
+    }
+
+    /// This node's part of what the fleet may repeat follows the number of nodes.
+    pub(super) fn refresh_allowance(&self) {
+        if let Some(fleet) = self.fleet_retries.load_full() {
+            let nodes = self.members_alive();
+            let allowance = Allowance::of_fleet(fleet.ratio, fleet.slack, nodes);
+            lock(&self.retries).set(allowance);
+        }
     }
 
     /// Brings the own gate in line with the operators' settings and the target's health.
@@ -251,14 +267,28 @@
         let table = self.routing.load();
         let settings = table.target(&self.settings.instance);
         let own = self.settings.target.as_ref().map_or(1, |t| t.slots);
-        let closed = match (settings.is_some_and(|t| t.drained), health) {
-            (true, _) => Some(NotRun::Leaving),
-            (false, Health::Down) => Some(NotRun::Unreachable),
-            (false, _) => None,
+        let (slots, leaving, unknown) = {
+            let target = lock(&self.target);
+            let announced = self.settings.target.as_ref().is_some_and(|t| t.announced);
+            let unknown = announced && target.instance().is_none();
+            (target.slots(), target.is_leaving(), unknown)
         };
-        let gate = &mut lock(&self.gate).gate;
-        gate.set_slots(settings.map_or(own, |t| t.slots));
-        gate.set_closed(closed);
+        let drained = leaving || settings.is_some_and(|t| t.drained);
+        let closed = match health {
+            _ if drained => Some(NotRun::Leaving),
+            _ if unknown => Some(NotRun::Unannounced),
+            Health::Down => Some(NotRun::Unreachable),
+            _ => None,
+        };
+        let mut state = lock(&self.gate);
+        let slots = settings.map(|t| t.slots).or(slots).unwrap_or(own);
+        state.gate.set_slots(slots);
+        state.gate.set_closed(closed);
+        // What waits can still run elsewhere.
+        if let Some(reason) = closed {
+            let wakes = state.gate.turn_away(reason);
+            state.deliver(wakes);
+        }
     }
 
     pub(super) fn send_members(&self, out: Outbox) {
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -15,11 +15,13 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, Sleep};
 
+use super::body::{ANSWER_KEPT, whole};
 use super::{Node, lock, wall_millis};
 use crate::coordination::gate::{Admission, Gate, Offer, Wake, Wakes};
 use crate::coordination::outcome::{Doubt, NotRun, OUTCOME_HEADER, Outcome};
 use crate::node::config::TargetAddress;
-use crate::protocol::headers::{DEADLINE, INTERNAL, LOAD, Passport};
+use crate::protocol::dialect::{Dialect, Judged, forget_attempts};
+use crate::protocol::headers::{BACKLOG, INTERNAL, LOAD, Passport};
 use crate::state::id::AttemptId;
 use crate::transport::client::SendError;
 use crate::transport::http::{Endpoint, empty};
@@ -72,7 +74,10 @@
     async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
         match Passport::read(&self.0.key, request.headers()) {
             Ok(passport) => self.0.run_here(passport, request).await,
-            Err(_) => refusal(NotRun::NotAuthentic, 0),
+            Err(e) => {
+                log::warn!("request to the gate refused: {e}");
+                refusal(NotRun::NotAuthentic, 0, Duration::ZERO)
+            }
         }
     }
 }
@@ -104,15 +109,16 @@
         request: Request<Body>,
     ) -> Response<Body> {
         let Some(target) = &self.settings.target else {
-            return refusal(NotRun::NoTarget, 0);
+            return refusal(NotRun::NoTarget, 0, Duration::ZERO);
         };
         let deadline = Instant::now() + passport.left;
         let ticket = match self.admit_attempt(passport, deadline).await {
             Ok(ticket) => ticket,
-            Err(Outcome::NotRun(reason)) => return refusal(reason, self.gate_load()),
+            Err(Outcome::NotRun(reason)) => return self.refuse(reason, passport.priority),
             Err(_) => return doubt(Doubt::Repeated, self.gate_load()),
         };
-        self.hand_over(ticket, target, request, deadline).await
+        self.hand_over(ticket, target, request, passport, deadline)
+            .await
     }
 
     async fn admit_attempt(
@@ -124,6 +130,8 @@
             attempt: passport.attempt,
             incarnation: passport.incarnation,
             class: passport.class,
+            priority: passport.priority,
+            objective: passport.objective.map(|o| Instant::now() + o),
             age: Duration::from_millis(wall_millis().abs_diff(passport.sent)),
             deadline,
         };
@@ -163,48 +171,74 @@
         mut ticket: Ticket<P>,
         target: &TargetAddress,
         mut request: Request<Body>,
+        passport: Passport,
         deadline: Instant,
     ) -> Response<Body> {
+        let dialect = self.platform.dialect();
         strip(request.headers_mut());
+        forget_attempts(request.headers_mut());
         let left = deadline.saturating_duration_since(Instant::now());
-        let left = HeaderValue::from(left.as_millis() as u64);
-        request.headers_mut().insert(DEADLINE, left);
+        let instance = lock(&self.target).instance().cloned();
+        dialect.hand(request.headers_mut(), left, instance.as_deref());
+        let echo = dialect.echo(request.headers());
         // From here on the target may see the request.
         ticket.outcome = Outcome::Unknown(Doubt::TargetBroken);
-        let sent = self.local.send(target.address, request);
-        match tokio::time::timeout_at(deadline, sent).await {
-            Ok(Ok(response)) => self.answered(ticket, target, response, deadline),
-            Ok(Err(SendError::NotSent)) => {
-                ticket.outcome = Outcome::NotRun(NotRun::Unreachable);
-                drop(ticket);
-                refusal(NotRun::Unreachable, self.gate_load())
+        let exchange = async {
+            let (sent, route) = self.local.send_routed(target.address, request).await;
+            let (parts, body) = sent?.into_parts();
+            let judged = dialect.judge(&parts, echo.as_ref(), self.shed_status(target));
+            if judged == Judged::Stray {
+                // What else arrives on this connection belongs to another request too.
+                route.discard();
+                return Ok((judged, Response::from_parts(parts, Body::default())));
             }
-            Ok(Err(SendError::Broken)) => doubt(Doubt::TargetBroken, self.gate_load()),
-            Err(_) => {
-                ticket.outcome = Outcome::Unknown(Doubt::Timeout);
-                doubt(Doubt::Timeout, self.gate_load())
+            match whole(Response::from_parts(parts, body)).await {
+                Ok(response) => Ok((judged, response)),
+                Err(_) => Err(SendError::Broken),
             }
+        };
+        let judged = match tokio::time::timeout_at(deadline, exchange).await {
+            Ok(Ok((Judged::Answered, response))) => {
+                return self.answered(ticket, response, deadline);
+            }
+            Ok(Ok((Judged::NotRun(reason), _))) => Outcome::NotRun(reason),
+            Ok(Ok((Judged::Stray, _))) => Outcome::Unknown(Doubt::Stray),
+            Ok(Err(SendError::NotSent)) => Outcome::NotRun(NotRun::Unreachable),
+            Ok(Err(SendError::Broken)) => Outcome::Unknown(Doubt::TargetBroken),
+            Err(_) => Outcome::Unknown(Doubt::Timeout),
+        };
+        log::info!(
+            "not answered attempt={} outcome={judged} instance={}",
+            passport.attempt,
+            instance.as_deref().unwrap_or("-"),
+        );
+        ticket.outcome = judged;
+        drop(ticket);
+        match judged {
+            Outcome::NotRun(reason) => {
+                if matches!(reason, NotRun::Unreachable | NotRun::Misdirected) {
+                    self.target_refused();
+                }
+                self.refuse(reason, passport.priority)
+            }
+            Outcome::Unknown(reason) => doubt(reason, self.gate_load()),
+            Outcome::Answered => doubt(Doubt::Stray, self.gate_load()),
         }
     }
 
     fn answered(
         self: &Arc<Self>,
         mut ticket: Ticket<P>,
-        target: &TargetAddress,
         mut response: Response<Body>,
         deadline: Instant,
     ) -> Response<Body> {
-        if Some(response.status().as_u16()) == self.shed_status(target) {
-            ticket.outcome = Outcome::NotRun(NotRun::Shed);
-            drop(ticket);
-            return refusal(NotRun::Shed, self.gate_load());
-        }
         lock(&self.health).answered(Instant::now());
         ticket.outcome = Outcome::Answered;
         strip(response.headers_mut());
         label(response.headers_mut(), Outcome::Answered, self.gate_load());
         response.map(|body| {
-            if body.is_end_stream() {
+            // What is whole in memory no longer needs the target.
+            if body.is_end_stream() || body.size_hint().exact().is_some_and(|l| l <= ANSWER_KEPT) {
                 drop(ticket);
                 return body;
             }
@@ -216,6 +250,16 @@
         })
     }
 
+    /// Refuses an attempt, and tells when there may be room.
+    fn refuse(&self, reason: NotRun, priority: u8) -> Response<Body> {
+        let (load, backlog) = {
+            let state = lock(&self.gate);
+            let load = state.gate.running() + state.gate.waiting() as u32;
+            (load, state.gate.backlog(priority))
+        };
+        refusal(reason, load, backlog)
+    }
+
     fn shed_status(&self, target: &TargetAddress) -> Option<u16> {
         let table = self.routing.load();
         table.service(&target.service)?.settings.shed_status
@@ -284,9 +328,11 @@
     headers.insert(LOAD, HeaderValue::from(load));
 }
 
-fn refusal(reason: NotRun, load: u32) -> Response<Body> {
+fn refusal(reason: NotRun, load: u32, backlog: Duration) -> Response<Body> {
     let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
     label(response.headers_mut(), Outcome::NotRun(reason), load);
+    let backlog = HeaderValue::from(backlog.as_millis() as u64);
+    response.headers_mut().insert(BACKLOG, backlog);
     response
 }
 
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -11,29 +11,33 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::answers::{Told, bad_request, no_route, replayed, told};
-use super::body::SharedBody;
+use super::answers::{Told, bad_request, no_route, replayed};
+use super::body::{SharedBody, whole};
 use super::gate::strip;
 use super::{Node, lock, wall_millis};
 use crate::coordination::claims::{ClaimVerdict, KeyHash, KeyState, Wish};
 use crate::coordination::gate::Voided;
 use crate::coordination::outcome::{Doubt, NotRun, OUTCOME_HEADER, Outcome};
-use crate::coordination::pick::Sign;
-use crate::coordination::retry::{self, Next, Trial, is_idempotent};
-use crate::protocol::headers::{ATTEMPTS_LEFT, DEADLINE, LOAD, Passport};
+use crate::coordination::pick::{Sign, Wanted};
+use crate::coordination::retry::{self, Next, Trial, come_back, is_idempotent};
+use crate::coordination::split;
+use crate::protocol::dialect::{Dialect, header_number};
+use crate::protocol::headers::{ATTEMPTS_LEFT, BACKLOG, LOAD, Passport};
 use crate::protocol::peer::{PeerReply, PeerRequest};
-use crate::state::id::AttemptId;
-use crate::state::object::Class;
+use crate::state::id::{AttemptId, Path};
+use crate::state::object::{Class, Limits};
 use crate::state::routing::{Candidate, RouteEntry, RoutingTable, ServiceEntry};
 use crate::transport::client::SendError;
-use crate::transport::http::{Endpoint, header_number};
+use crate::transport::http::Endpoint;
 use crate::transport::link::ask;
 use crate::transport::platform::Platform;
 
-/// Time beyond the deadline for which a gate's own verdict is awaited.
-const GRACE: Duration = Duration::from_millis(100);
+/// Time beyond the deadline for which a gate's own verdict is awaited: about a round trip.
+const GRACE: Duration = Duration::from_millis(20);
 /// Time within which a gate answers a void.
-const VOID_TIMEOUT: Duration = Duration::from_millis(500);
+const VOID_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a caller may come back where no gate says better, such as with no target.
+const COME_BACK: Duration = Duration::from_millis(250);
 /// Header with which a caller names a request that it may repeat.
 const KEY_HEADER: &str = "idempotency-key";
 /// Longest idempotency key, in bytes.
@@ -49,18 +53,52 @@
         let table = node.routing.load_full();
         let route = find(&table, &request).cloned();
         let class = route.as_ref().map(|r| r.route.class);
-        let (mut response, outcome) = match route {
-            _ if !node.is_ready() => told(Outcome::NotRun(NotRun::NotReady)),
+        let dialect = node.platform.dialect();
+        let name = dialect.name(request.headers()).to_string();
+        let mut trace = Trace::default();
+        let (mut response, outcome) = match &route {
+            _ if !node.is_ready() => node.told(Outcome::NotRun(NotRun::NotReady), COME_BACK),
             None => no_route(),
-            Some(route) => node.serve(&route, request, began).await,
+            Some(route) => node.serve(route, request, began, &mut trace).await,
         };
         node.metrics.request(class, outcome, began.elapsed());
+        log::info!(
+            target: "tarragoncourse::request",
+            "request id={name} route={} version={} status={} outcome={outcome} target={} made={} bounced={} ms={:.1}",
+            route.as_ref().map_or("-", |r| r.path.name()),
+            table.version(),
+            response.status().as_u16(),
+            trace.target.map_or_else(|| "-".to_string(), |t| t.to_string()),
+            trace.made,
+            trace.bounced,
+            began.elapsed().as_secs_f64() * 1000.0,
+        );
         if node.is_leaving() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
         response
     }
+
+    fn may_start_early(&self, request: &Request<Body>) -> bool {
+        let table = self.0.routing.load();
+        let route = find(&table, request).map(|r| &r.route);
+        route.is_some_and(|r| is_idempotent(r.idempotency, request.method().as_str()) && !r.keyed)
+    }
+
+    fn limits(&self) -> Limits {
+        *self.0.routing.load().limits()
+    }
+}
+
+/// What a request went through, for its log line.
+#[derive(Default)]
+struct Trace {
+    target: Option<SocketAddr>,
+    /// Attempts that reached a target.
+    made: u8,
+    /// Attempts that a gate refused.
+    bounced: u8,
 }
 
 /// One request on its way.
@@ -70,15 +108,28 @@
     headers: HeaderMap,
     body: SharedBody,
     deadline: Instant,
+    objective: Option<Instant>,
     route: Arc<RouteEntry>,
+    /// The part of the route that the request goes to.
+    service: Path,
 }
 
 /// Where one attempt led.
 enum Ended {
     /// An answer whose head says that the target answered.
     Answer(Response<Body>),
-    /// Anything else.
-    Short(Outcome),
+    /// Anything else, and after which time the gate may have room.
+    Short(Outcome, Option<Duration>),
+}
+
+impl Ended {
+    fn not_run(reason: NotRun) -> Ended {
+        Ended::Short(Outcome::NotRun(reason), None)
+    }
+
+    fn unknown(doubt: Doubt) -> Ended {
+        Ended::Short(Outcome::Unknown(doubt), None)
+    }
 }
 
 impl<P: Platform> Node<P> {
@@ -87,49 +138,59 @@
         route: &Arc<RouteEntry>,
         request: Request<Body>,
         began: Instant,
+        trace: &mut Trace,
     ) -> Told {
-        let (parts, body) = request.into_parts();
-        let limit = header_number(&parts.headers, DEADLINE).map(Duration::from_millis);
+        let (mut parts, body) = request.into_parts();
+        let dialect = self.platform.dialect();
+        let limit = dialect.limit(&parts.headers);
         let time = limit.map_or(route.route.deadline, |l| l.min(route.route.deadline));
         let taken = self.bodies.take(&parts.headers, body);
         let body = match tokio::time::timeout_at(began + time, taken).await {
             Ok(Ok(body)) => body,
             Ok(Err(_)) | Err(_) => {
-                return bad_request("the request's body broke off; send it whole");
+                return self.told(Outcome::NotRun(NotRun::CallerGone), Duration::ZERO);
             }
         };
+        dialect.stamp(&mut parts.headers);
         let mut call = Call {
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
             body,
             deadline: began + time,
+            objective: route.route.objective.map(|o| began + o),
             route: route.clone(),
+            service: draw_part(route),
         };
         if !route.route.keyed {
-            return self.attempts(&mut call).await;
+            return self.attempts(&mut call, trace).await;
         }
         match key_of(&call) {
-            Some(key) => self.serve_keyed(&mut call, key).await,
+            Some(key) => self.serve_keyed(&mut call, key, trace).await,
             None => bad_request("this route needs an Idempotency-Key header of 1 to 256 bytes"),
         }
     }
 
     /// Claims the key before the request may run, and records what became of it.
-    async fn serve_keyed(self: &Arc<Self>, call: &mut Call, key: KeyHash) -> Told {
+    async fn serve_keyed(
+        self: &Arc<Self>,
+        call: &mut Call,
+        key: KeyHash,
+        trace: &mut Trace,
+    ) -> Told {
         let claim = AttemptId(fastrand::u128(..));
         let wish = self.wish(Wish::Claim(key, claim));
         match tokio::time::timeout_at(call.deadline, wish).await {
             Ok(Some(ClaimVerdict::Granted)) => {}
             Ok(Some(ClaimVerdict::Held(KeyState::Answered(status)))) => return replayed(status),
             Ok(Some(ClaimVerdict::Held(KeyState::Pending))) => {
-                return told(Outcome::Unknown(Doubt::KeyInDoubt));
+                return self.told(Outcome::Unknown(Doubt::KeyInDoubt), COME_BACK);
             }
             Ok(Some(ClaimVerdict::Full) | None) | Err(_) => {
-                return told(Outcome::NotRun(NotRun::ClaimUnavailable));
+                return self.told(Outcome::NotRun(NotRun::ClaimUnavailable), COME_BACK);
             }
         }
-        let (response, outcome) = self.attempts(call).await;
+        let (response, outcome) = self.attempts(call, trace).await;
         let after = match outcome {
             Outcome::Answered => Some(Wish::Settle(key, claim, response.status().as_u16())),
             Outcome::NotRun(_) => Some(Wish::Release(key, claim)),
@@ -143,35 +204,50 @@
         (response, outcome)
     }
 
-    async fn attempts(self: &Arc<Self>, call: &mut Call) -> Told {
+    async fn attempts(self: &Arc<Self>, call: &mut Call, trace: &mut Trace) -> Told {
         let route = call.route.clone();
         let idempotent = is_idempotent(route.route.idempotency, call.method.as_str());
         let allowed = header_number(&call.headers, ATTEMPTS_LEFT).unwrap_or(u64::MAX);
         let allowed = allowed.clamp(1, route.route.attempts.into()) as u8;
         strip(&mut call.headers);
         let mut tried: SmallVec<[SocketAddr; 4]> = SmallVec::new();
-        let mut made = 0;
+        let mut backlog: Option<Duration> = None;
+        let mut last = None;
         loop {
-            made += 1;
-            let left = u64::from(allowed - made);
-            call.headers
-                .insert(ATTEMPTS_LEFT, HeaderValue::from(left + 1));
-            let outcome = match self.attempt(call, &mut tried).await {
+            let left = u64::from(allowed - trace.made);
+            call.headers.insert(ATTEMPTS_LEFT, HeaderValue::from(left));
+            let outcome = match self.attempt(call, &mut tried, last).await {
                 Ended::Answer(response) => {
-                    lock(&self.retries).earn();
+                    trace.made += 1;
+                    trace.target = tried.last().copied();
+                    lock(&self.retries).of(&call.service).earn();
                     return (response, Outcome::Answered);
                 }
-                Ended::Short(outcome) => outcome,
+                Ended::Short(outcome, wait) => {
+                    backlog = wait.into_iter().chain(backlog).min();
+                    outcome
+                }
             };
+            trace.target = tried.last().copied();
+            match outcome.reached_target() {
+                true => trace.made += 1,
+                false => trace.bounced += 1,
+            }
+            last = Some(outcome);
             let trial = Trial {
                 idempotent,
                 replayable: call.body.is_replayable(),
-                made,
+                made: trace.made,
+                bounced: trace.bounced,
                 allowed,
                 deadline: call.deadline,
             };
-            match self.decide(outcome, trial) {
-                Next::Finish => return told(outcome),
+            match self.decide(outcome, trial, &call.service) {
+                Next::Finish => {
+                    let left = call.deadline.saturating_duration_since(Instant::now());
+                    let wait = come_back(backlog.unwrap_or(COME_BACK), left, fastrand::f64());
+                    return self.told(outcome, wait);
+                }
                 Next::Retry(wait) => {
                     self.metrics.retry();
                     tokio::time::sleep(wait).await;
@@ -180,23 +256,36 @@
         }
     }
 
-    fn decide(&self, outcome: Outcome, trial: Trial) -> Next {
+    fn decide(&self, outcome: Outcome, trial: Trial, service: &Path) -> Next {
         let mut rng = fastrand::Rng::new();
-        let budget = &mut lock(&self.retries);
-        retry::after(outcome, trial, budget, &mut rng, Instant::now())
+        let budgets = &mut lock(&self.retries);
+        retry::after(
+            outcome,
+            trial,
+            budgets.of(service),
+            &mut rng,
+            Instant::now(),
+        )
     }
 
+    /// Makes one attempt. `last` is how the attempt before it ended.
     async fn attempt(
         self: &Arc<Self>,
         call: &Call,
         tried: &mut SmallVec<[SocketAddr; 4]>,
+        last: Option<Outcome>,
     ) -> Ended {
         let table = self.routing.load_full();
-        let Some(service) = table.service(&call.route.route.service) else {
-            return Ended::Short(Outcome::NotRun(NotRun::NoTarget));
+        let Some(service) = table.service(&call.service) else {
+            return Ended::not_run(NotRun::NoTarget);
         };
-        let Some((target, mut flight)) = self.pick(service, tried) else {
-            return Ended::Short(Outcome::NotRun(NotRun::NoTarget));
+        // A target that failed may be tried again once all were; a gate that refused may not.
+        let again = last.is_none_or(Outcome::reached_target);
+        let Some((target, mut flight)) = self.pick(call, service, tried, again) else {
+            return Ended::not_run(match last {
+                Some(Outcome::NotRun(reason)) => reason,
+                _ => NotRun::NoTarget,
+            });
         };
         tried.push(target.peer);
         let (ended, sign) = self.forward(call, &target).await;
@@ -206,16 +295,28 @@
 
     fn pick(
         self: &Arc<Self>,
+        call: &Call,
         service: &Arc<ServiceEntry>,
         tried: &[SocketAddr],
+        again: bool,
     ) -> Option<(Candidate, Flight<P>)> {
         let now = Instant::now();
         let mut picker = lock(&self.picker);
-        let zone = &self.settings.zone;
         let candidates = &service.candidates;
-        let picked = picker.pick(candidates, zone, tried, now);
-        // With every target tried, the least loaded one may be tried again.
-        let picked = picked.or_else(|| picker.pick(candidates, zone, &[], now))?;
+        let wanted = Wanted {
+            zone: &self.settings.zone,
+            tried,
+            bytes: call.body.length(),
+        };
+        let mut picked = picker.pick(candidates, wanted, now);
+        if picked.is_none() && again {
+            let wanted = Wanted {
+                tried: &[],
+                ..wanted
+            };
+            picked = picker.pick(candidates, wanted, now);
+        }
+        let picked = picked?;
         let flight = Flight {
             node: self.clone(),
             peer: picked.peer,
@@ -229,43 +330,43 @@
         let began = Instant::now();
         let is_bulk = call.route.route.class == Class::Bulk;
         let timed = |began: Instant| (!is_bulk).then(|| began.elapsed());
+        let until = |at: Instant| at.saturating_duration_since(began);
         let passport = Passport {
             attempt: AttemptId(fastrand::u128(..)),
             incarnation: target.incarnation,
             class: call.route.route.class,
-            left: call.deadline.saturating_duration_since(Instant::now()),
+            priority: call.route.route.priority,
+            objective: call.objective.map(until),
+            left: until(call.deadline),
             sent: wall_millis(),
         };
-        let request = call.request();
+        let mut request = call.request();
         if target.peer == self.addresses.peers {
             let response = self.run_here(passport, request).await;
-            return understood(response, timed(began));
+            return understood(response, || timed(began)).await;
         }
-        let mut request = request;
         passport.write(&self.key, request.headers_mut());
-        let sent = self.hop.send(target.gate, request);
-        match tokio::time::timeout_at(call.deadline + GRACE, sent).await {
-            Ok(Ok(response)) => understood(response, timed(began)),
-            Ok(Err(SendError::NotSent)) => {
-                let outcome = Outcome::NotRun(NotRun::Unreachable);
-                (Ended::Short(outcome), Sign::Failed)
-            }
+        let exchange = async {
+            let response = self.hop.send(target.gate, request).await?;
+            Ok(understood(response, || timed(began)).await)
+        };
+        match tokio::time::timeout_at(call.deadline + GRACE, exchange).await {
+            Ok(Ok(ended)) => ended,
+            Ok(Err(SendError::NotSent)) => (Ended::not_run(NotRun::Unreachable), Sign::Failed),
             // The caller's upload broke off, which says nothing about the target.
             Ok(Err(SendError::Broken)) if call.body.has_failed() => {
                 let outcome = match self.void(passport, target, Doubt::LinkBroken).await {
                     Outcome::NotRun(_) => Outcome::NotRun(NotRun::CallerGone),
                     other => other,
                 };
-                (Ended::Short(outcome), Sign::Abandoned)
+                (Ended::Short(outcome, None), Sign::Abandoned)
             }
             Ok(Err(SendError::Broken)) => {
                 let outcome = self.void(passport, target, Doubt::LinkBroken).await;
-                (Ended::Short(outcome), Sign::Failed)
-            }
-            Err(_) => {
-                let outcome = self.void(passport, target, Doubt::Timeout).await;
-                (Ended::Short(outcome), Sign::Failed)
+                (Ended::Short(outcome, None), Sign::Failed)
             }
+            // The deadline has passed: the caller is told at once, whatever the gate knows.
+            Err(_) => (Ended::unknown(Doubt::Timeout), Sign::Failed),
         }
     }
 
@@ -327,27 +428,50 @@
 fn key_of(call: &Call) -> Option<KeyHash> {
     let key = call.headers.get(KEY_HEADER)?.to_str().ok()?;
     let fits = (1..=KEY_MAX).contains(&key.len());
-    fits.then(|| KeyHash::new(call.route.route.service.as_str(), key))
+    fits.then(|| KeyHash::new(call.service.as_str(), key))
 }
 
 /// Reads a gate's answer. Without the outcome header, something else listens at that address.
-fn understood(mut response: Response<Body>, took: Option<Duration>) -> (Ended, Sign) {
+async fn understood(
+    mut response: Response<Body>,
+    took: impl Fn() -> Option<Duration>,
+) -> (Ended, Sign) {
     let headers = response.headers();
     let load = header_number(headers, LOAD).unwrap_or(0) as u32;
+    let backlog = header_number(headers, BACKLOG).map(Duration::from_millis);
     let text = headers.get(OUTCOME_HEADER).and_then(|v| v.to_str().ok());
     match text.and_then(Outcome::parse) {
         Some(Outcome::Answered) => {
             response.headers_mut().remove(LOAD);
-            (Ended::Answer(response), Sign::Answered(load, took))
+            response.headers_mut().remove(BACKLOG);
+            // A target that answers with an error of its own is not at its best.
+            let faulty = response.status().is_server_error();
+            match whole(response).await {
+                Ok(response) if faulty => (Ended::Answer(response), Sign::Refused(load)),
+                Ok(response) => (Ended::Answer(response), Sign::Answered(load, took())),
+                Err(_) => (Ended::unknown(Doubt::LinkBroken), Sign::Failed),
+            }
         }
-        Some(outcome @ Outcome::NotRun(NotRun::Unreachable)) => {
-            (Ended::Short(outcome), Sign::Failed)
+        Some(outcome) => {
+            let sign = match outcome {
+                Outcome::NotRun(NotRun::Unreachable) | Outcome::Unknown(Doubt::TargetBroken) => {
+                    Sign::Failed
+                }
+                _ => Sign::Refused(load),
+            };
+            (Ended::Short(outcome, backlog), sign)
         }
-        Some(outcome @ Outcome::NotRun(_)) => (Ended::Short(outcome), Sign::Refused(load)),
-        Some(outcome) => (Ended::Short(outcome), Sign::Failed),
-        None => (
-            Ended::Short(Outcome::Unknown(Doubt::LinkBroken)),
-            Sign::Failed,
-        ),
+        None => (Ended::unknown(Doubt::LinkBroken), Sign::Failed),
     }
 }
+
+/// The service that the next request of a route goes to.
+fn draw_part(route: &RouteEntry) -> Path {
+    let parts = &route.route.parts;
+    let weights: SmallVec<[u32; 4]> = parts.iter().map(|p| p.weight).collect();
+    let at = match parts.len() {
+        1 => 0,
+        _ => split::draw(&weights, route.turn()),
+    };
+    parts[at].service.clone()
+}
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -80,13 +80,22 @@
         let mut known: Vec<SocketAddr> = holders.collect();
         known.extend(&self.settings.peers);
         let peers = self.join_peers(known).await;
-        let head = match self.read_head().await {
-            Ok(found) => Some(found.map_or(Version(0), |(head, _)| head.version)),
-            Err(_) => None,
-        };
+        let head = self.newest_accepted().await;
         self.wait_current(Found { head, peers }).await
     }
 
+    /// The newest version in the platform; none if the platform did not answer, or holds no
+    /// document yet.
+    async fn newest_accepted(self: &Arc<Self>) -> Option<Version> {
+        if P::EXTERNAL {
+            let document = self.platform.document().await.ok()??;
+            self.take_document(&document.snapshot);
+            return Some(document.snapshot.version());
+        }
+        let found = self.read_head().await.ok()?;
+        Some(found.map_or(Version(0), |(head, _)| head.version))
+    }
+
     /// Learns the member table from one of the known peers, and the newest version that a few
     /// have heard of. A busy peer names others, so that a herd spreads over the fleet.
     pub(super) async fn join_peers(
@@ -174,6 +183,10 @@
             (None, (peers, answers)) if answers > 0 => peers.max(self.newest_heard().await),
             (None, _) => return false,
         };
+        // Without any document there is nothing to serve callers by.
+        if P::EXTERNAL && floor == Version(0) {
+            return false;
+        }
         let mut actions = Actions::new();
         let now = Instant::now();
         lock(&self.distribution).head_moved(floor, now, &mut actions);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,7 +1,7 @@
 //! The node: the daemon's tasks around the state machines.
 //!
 //! Shared tables are locked in the order of the fields of [`Node`]: members, distribution, slots,
-//! gate, health, picker, retries, sender, fetches. A lock is never held across an await.
+//! target, gate, health, picker, retries, sender, fetches. A lock is never held across an await.
 
 mod answers;
 mod api;
@@ -27,21 +27,22 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Semaphore, oneshot, watch as signal};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::coordination::announce::Announced;
 use crate::coordination::budget::ByteBudget;
 use crate::coordination::distribution::Distribution;
 use crate::coordination::gate::Gate;
 use crate::coordination::health::TargetHealth;
 use crate::coordination::members::Members;
 use crate::coordination::pick::Picker;
-use crate::coordination::retry::RetryBudget;
+use crate::coordination::retry::RetryBudgets;
 use crate::coordination::slots::Slots;
-use crate::node::config::NodeSettings;
+use crate::node::config::{FleetRetries, NodeSettings};
 use crate::protocol::datagram::Sealer;
 use crate::protocol::key::FleetKey;
 use crate::state::id::{Incarnation, Version};
@@ -49,16 +50,16 @@
 use crate::state::routing::RoutingTable;
 use crate::state::snapshot::{Delta, Snapshot};
 use crate::transport::client::HttpClient;
-use crate::transport::http::{ServeLimits, serve};
+use crate::transport::http::{Endpoint, ServeLimits, serve};
 use crate::transport::platform::Platform;
 
 use body::BodyKeeper;
 pub use claims::ClaimQueue;
 pub use metrics::Metrics;
 
-/// Time between the announcement of leaving and the closing of the listeners, so that callers
-/// and other nodes turn away first.
-const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+/// Time for which an unused connection to the target is kept. Targets close idle connections
+/// after some seconds, and a request sent just then would be lost.
+const LOCAL_IDLE: Duration = Duration::from_secs(2);
 /// Peers that are told at once of a node's leaving.
 const FAREWELLS: usize = 16;
 /// Whole configurations or delta runs served at once.
@@ -100,10 +101,13 @@
     members: Mutex<Members>,
     distribution: Mutex<Distribution>,
     slots: Mutex<Slots>,
+    /// What the target beside this node announces, where it does.
+    target: Mutex<Announced>,
     gate: Mutex<gate::GateState>,
     health: Mutex<TargetHealth>,
     picker: Mutex<Picker>,
-    retries: Mutex<RetryBudget>,
+    retries: Mutex<RetryBudgets>,
+    fleet_retries: ArcSwapOption<FleetRetries>,
     sender: Mutex<Sender>,
     fetches: Mutex<Fetches>,
     udp: UdpSocket,
@@ -118,6 +122,8 @@
     metrics: Metrics,
     ready: AtomicBool,
     leaving: AtomicBool,
+    /// Whether the platform did not answer the last call for the configuration.
+    cut_off: AtomicBool,
     rollbacks: AtomicU64,
     stop: signal::Sender<bool>,
 }
@@ -140,6 +146,10 @@
         let gate = TcpListener::bind(listen.gate).await?;
         let callers = TcpListener::bind(listen.callers).await?;
         let admin = TcpListener::bind(listen.admin).await?;
+        let ready = match listen.ready {
+            Some(address) => Some(TcpListener::bind(address).await?),
+            None => None,
+        };
         let addresses = Addresses {
             peers: peers.local_addr()?,
             gate: gate.local_addr()?,
@@ -153,6 +163,9 @@
             control: JoinSet::new(),
         };
         running.serve(gate, callers, admin);
+        if let Some(listener) = ready {
+            running.serve_on(listener, |node| api::ReadyPage(node));
+        }
         running.spawn_control(peers, wishes);
         Ok(running)
     }
@@ -166,7 +179,7 @@
     /// Returns whether everything ended within the drain time.
     pub async fn stop(mut self) -> bool {
         self.node.leave();
-        tokio::time::sleep(LEAVE_NOTICE).await;
+        tokio::time::sleep(self.node.settings.leave_notice).await;
         let _ = self.node.stop.send(true);
         let mut whole = true;
         while let Some(ended) = self.serving.join_next().await {
@@ -184,6 +197,25 @@
         self.control.abort_all();
     }
 
+    /// Serves an endpoint of the surroundings for as long as the node runs, and while it drains.
+    pub fn serve_on<E: Endpoint>(
+        &mut self,
+        listener: TcpListener,
+        endpoint: impl FnOnce(Arc<Node<P>>) -> E,
+    ) {
+        let limits = ServeLimits {
+            connections: ADMIN_CONNECTIONS,
+            drain: Duration::ZERO,
+        };
+        let service = Arc::new(endpoint(self.node.clone()));
+        // Ended with the control tasks: readiness and reports are asked for until the end.
+        let (until, never) = signal::channel(false);
+        self.control.spawn(async move {
+            let _until = until;
+            serve(listener, service, limits, never).await;
+        });
+    }
+
     fn serve(&mut self, gate: TcpListener, callers: TcpListener, admin: TcpListener) {
         let node = &self.node;
         let limits = ServeLimits {
@@ -242,15 +274,17 @@
             members: Mutex::new(Members::new(own, now, rng.fork())),
             distribution: Mutex::new(Distribution::new(Arc::new(Snapshot::default()), rng.fork())),
             slots: Mutex::new(Slots::new(now)),
+            target: Mutex::new(Announced::default()),
             gate: Mutex::new(gate::GateState::new(Gate::new(incarnation, slots))),
             health: Mutex::new(TargetHealth::default()),
             picker: Mutex::new(Picker::new(rng.fork())),
-            retries: Mutex::new(RetryBudget::default()),
+            retries: Mutex::new(RetryBudgets::default()),
+            fleet_retries: ArcSwapOption::from_pointee(settings.retries),
             sender: Mutex::new(sender),
             fetches: Mutex::new(Fetches::new()),
             udp,
             hop: HttpClient::default(),
-            local: HttpClient::default(),
+            local: HttpClient::with_idle(LOCAL_IDLE),
             claims,
             pulls: Semaphore::new(PULLS_MAX),
             joins: Semaphore::new(JOINS_MAX),
@@ -258,6 +292,7 @@
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            cut_off: AtomicBool::new(false),
             rollbacks: AtomicU64::new(0),
             stop: signal::Sender::new(false),
             key,
@@ -291,6 +326,19 @@
         &self.metrics
     }
 
+    /// Takes over what may change while the node runs: the log level and what the fleet may
+    /// repeat. Other changes wait for a restart.
+    pub fn reload(&self, settings: &NodeSettings) {
+        log::set_max_level(settings.log);
+        self.fleet_retries.store(settings.retries.map(Arc::new));
+        self.refresh_allowance();
+        log::info!(
+            "settings reloaded log={} retries={:?}",
+            settings.log,
+            settings.retries
+        );
+    }
+
     fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
     }
@@ -335,10 +383,13 @@
 }
 
 fn own_record(settings: &NodeSettings, addresses: Addresses, incarnation: Incarnation) -> Record {
-    let beside = settings.target.as_ref().map(|t| Beside {
+    let known = settings.target.as_ref().filter(|t| !t.announced);
+    let beside = known.map(|t| Beside {
         instance: settings.instance.as_str().into(),
         service: t.service.clone(),
         slots: t.slots,
+        report: (0, 0),
+        leaving: false,
     });
     Record {
         peer: addresses.peers,
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -18,13 +18,15 @@
 use crate::protocol::wire::WireError;
 use crate::state::id::{ChangeId, Version};
 use crate::state::snapshot::{Delta, Edit, Snapshot};
-use crate::state::validate::ADMIN;
+use crate::state::validate::{ADMIN, check_references};
 use crate::transport::platform::{Platform, PlatformError};
 
 /// Longest time that a change may take to be accepted.
 pub(super) const COMMIT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Versions between whole snapshots in the platform.
 pub(super) const SNAPSHOT_EVERY: u64 = 64;
+/// Author of deltas between documents of an operator outside the system.
+const OPERATOR: &str = "operator";
 /// Most records read back along the chain in one go.
 const CHAIN_MAX: u64 = 256;
 /// Most records read back by an operator's question.
@@ -58,6 +60,10 @@
 
     /// What the platform has beyond the held version.
     pub(super) async fn read_newer(&self) -> StoreResult<Pulled> {
+        if P::EXTERNAL {
+            let found = self.platform.document().await?;
+            return Ok(found.map_or(Pulled::Nothing, |d| self.pulled_document(d.snapshot)));
+        }
         let Some((head, _)) = self.read_head().await? else {
             return Ok(Pulled::Nothing);
         };
@@ -74,6 +80,42 @@
         Ok(Pulled::Whole(Arc::new(self.read_whole(&head).await?)))
     }
 
+    /// A document as an answer to a pull: the delta from what is held, so that peers that are as
+    /// far behind can be served with it.
+    fn pulled_document(&self, document: Arc<Snapshot>) -> Pulled {
+        let held = lock(&self.distribution).held().clone();
+        if document.version() <= held.version() {
+            return Pulled::Nothing;
+        }
+        match held.version() {
+            Version(0) => Pulled::Whole(document),
+            _ => Pulled::Deltas(vec![Arc::new(held.delta_to(&document, OPERATOR))]),
+        }
+    }
+
+    /// Puts a document that was read from the platform in force, if it is newer.
+    pub(super) fn take_document(self: &Arc<Self>, document: &Arc<Snapshot>) {
+        let deltas = match self.pulled_document(document.clone()) {
+            Pulled::Deltas(deltas) => deltas,
+            Pulled::Whole(_) => Vec::new(),
+            _ => return,
+        };
+        let invalid = check_references(document);
+        if let Some(first) = invalid.first() {
+            log::error!(
+                "document not put in force version={} problems={}: {first}",
+                document.version(),
+                invalid.len()
+            );
+            return;
+        }
+        let peers = self.announce_peers(true);
+        let mut actions = Actions::new();
+        let now = Instant::now();
+        lock(&self.distribution).offer(document.clone(), deltas, &peers, now, &mut actions);
+        self.execute(actions);
+    }
+
     pub(super) async fn read_record(
         &self,
         version: Version,
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -9,9 +9,10 @@
 use tokio::time::Instant;
 
 use super::{Node, lock};
+use crate::coordination::announce::{Heard, Report};
 use crate::coordination::health::{TARGET_PROBE, TargetProbe};
 use crate::node::config::TargetAddress;
-use crate::state::member::Health;
+use crate::state::member::{Beside, Health};
 use crate::transport::platform::Platform;
 
 /// Time within which the target must take a connection or answer its health page.
@@ -23,6 +24,9 @@
             self.publish_health(Health::Ready);
             return;
         };
+        if target.announced {
+            return;
+        }
         loop {
             let probe = self.probe_target(&target).await;
             let now = Instant::now();
@@ -70,6 +74,81 @@
         settings.map_or(Duration::ZERO, |t| t.ramp)
     }
 
+    /// Takes in a report of the target beside this node, where it announces itself. Once this
+    /// returns, the gate hands a target that leaves no more work.
+    pub fn report(&self, report: Report) -> Heard {
+        let now = Instant::now();
+        let (instance, stage, sequence) = (report.instance.clone(), report.stage, report.sequence);
+        let heard = lock(&self.target).hear(report, now);
+        if heard != Heard::Known {
+            log::info!(
+                "target report instance={instance} sequence={sequence} stage={stage:?} heard={heard:?}"
+            );
+        }
+        self.follow_target(now);
+        heard
+    }
+
+    /// The target beside this node says that it leaves.
+    pub fn target_leaves(&self, instance: &str, boot: Option<u64>) -> Heard {
+        let heard = lock(&self.target).leave(instance, boot);
+        log::info!("target leaves instance={instance} boot={boot:?} heard={heard:?}");
+        self.follow_target(Instant::now());
+        heard
+    }
+
+    /// The target beside this node refused a connection, or another answered in its place.
+    pub(super) fn target_refused(&self) {
+        let heard = lock(&self.target).refused();
+        if heard == Heard::Changed {
+            log::warn!("target refuses connections; waiting for its next report");
+            self.follow_target(Instant::now());
+        }
+    }
+
+    /// Publishes what the target has announced, and brings the gate in line with it.
+    pub(super) fn follow_target(&self, now: Instant) {
+        let Some(place) = self.settings.target.as_ref().filter(|t| t.announced) else {
+            return;
+        };
+        let past = lock(&self.members).take_past();
+        let (health, beside) = {
+            let mut target = lock(&self.target);
+            if let Some(past) = &past {
+                target.recall(past);
+            }
+            let beside = target.instance().map(|instance| Beside {
+                instance: instance.clone(),
+                service: place.service.clone(),
+                slots: target.slots().unwrap_or(place.slots),
+                report: target.last().unwrap_or_default(),
+                leaving: target.is_leaving(),
+            });
+            (target.health(now), beside)
+        };
+        let changed = {
+            let mut members = lock(&self.members);
+            let same = match (&members.own().target, &beside) {
+                (Some(held), Some(new)) => {
+                    Beside {
+                        report: held.report,
+                        ..new.clone()
+                    } == *held
+                }
+                (None, None) => true,
+                _ => false,
+            };
+            if !same {
+                members.update(|r| r.target = beside);
+            }
+            !same
+        };
+        self.publish_health(health);
+        if changed {
+            self.refresh_gate();
+        }
+    }
+
     fn publish_health(&self, health: Health) {
         if self.is_leaving() {
             return;
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -11,12 +11,21 @@
 use crate::coordination::slots::{LEASE_TTL, SlotStep};
 use crate::protocol::record::{HEAD_KEY, decode_head, decode_slot, encode_slot, slot_key};
 use crate::state::id::Version;
-use crate::transport::platform::{Platform, PlatformError, Value};
+use crate::transport::platform::{Platform, PlatformError, Value, Watched};
 
 /// Interval between decisions about slots.
 const SLOT_POLL: Duration = Duration::from_millis(500);
 /// Longest wait of one watch call.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Longest wait of one watch on the operator's document. A watch whose connection went silent is
+/// noticed after it.
+const DOCUMENT_WAIT: Duration = Duration::from_secs(5);
+/// Pause after a change of the document, in which further changes gather.
+const DOCUMENT_PAUSE: Duration = Duration::from_millis(200);
+/// Mean pause after a failed call for the document.
+const DOCUMENT_RETRY: Duration = Duration::from_millis(500);
+/// In fleets up to this size every node watches the document itself.
+const WATCH_ALL: usize = 16;
 /// Pause after a failed watch call.
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
 
@@ -98,6 +107,9 @@
     }
 
     pub(super) async fn watch_loop(self: Arc<Self>) {
+        if P::EXTERNAL {
+            return self.watch_document().await;
+        }
         let mut revision = 0;
         loop {
             if lock(&self.slots).held(Instant::now()).is_none() {
@@ -110,7 +122,7 @@
                     self.head_seen(&value).await;
                 }
                 Ok(None) => {}
-                Err(PlatformError::NoAnswer | PlatformError::Refused(_)) => {
+                Err(_) => {
                     revision = 0;
                     tokio::time::sleep(WATCH_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
                 }
@@ -118,6 +130,63 @@
         }
     }
 
+    /// Follows the operator's document: every node in a small fleet, the holders of watcher slots
+    /// in a large one.
+    async fn watch_document(self: Arc<Self>) {
+        let mut revision = None;
+        loop {
+            if !self.watches_document() {
+                revision = None;
+                tokio::time::sleep(SLOT_POLL).await;
+                continue;
+            }
+            let found = match revision {
+                None => self.platform.document().await.map(|found| Watched {
+                    revision: found.as_ref().map_or(0, |d| d.revision),
+                    document: found.map(|d| d.snapshot),
+                }),
+                Some(after) => self.platform.watch_document(after, DOCUMENT_WAIT).await,
+            };
+            match found {
+                Ok(watched) => {
+                    self.regained_platform();
+                    revision = Some(watched.revision).filter(|r| *r > 0);
+                    if let Some(document) = &watched.document {
+                        self.take_document(document);
+                        // Versions in quick succession come together.
+                        tokio::time::sleep(DOCUMENT_PAUSE).await;
+                    }
+                    if revision.is_none() {
+                        tokio::time::sleep(DOCUMENT_PAUSE).await;
+                    }
+                }
+                Err(e) => {
+                    self.lost_platform(&e);
+                    revision = None;
+                    tokio::time::sleep(DOCUMENT_RETRY.mul_f64(0.5 + fastrand::f64())).await;
+                }
+            }
+        }
+    }
+
+    fn watches_document(&self) -> bool {
+        self.members_alive() <= WATCH_ALL || lock(&self.slots).held(Instant::now()).is_some()
+    }
+
+    /// Notes that the platform answers, and says so if it did not before.
+    fn regained_platform(&self) {
+        if self.cut_off.swap(false, Ordering::AcqRel) {
+            log::info!("platform regained");
+        }
+    }
+
+    /// Notes that the platform does not answer, and says so if it did before.
+    fn lost_platform(&self, e: &PlatformError) {
+        if !self.cut_off.swap(true, Ordering::AcqRel) {
+            log::warn!("platform lost: {e}");
+        }
+    }
+
     async fn head_seen(self: &Arc<Self>, value: &Value) {
         let Ok(head) = decode_head(&value.text) else {
             return;
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -4,31 +4,26 @@
 
 use http::HeaderMap;
 use http::header::HeaderValue;
+use serde::{Deserialize, Serialize};
 
-use super::key::FleetKey;
+use super::key::{FleetKey, MAC_BYTES};
 use super::wire::WireError;
-use crate::state::id::{AttemptId, Incarnation, parse_hex};
+use crate::state::id::{AttemptId, Incarnation};
 use crate::state::object::Class;
 
-/// Names the attempt; 32 hexadecimal digits.
-pub const ATTEMPT: &str = "tarragon-attempt";
-/// The life of the gate that is meant.
-pub const INCARNATION: &str = "tarragon-incarnation";
-/// Priority class.
-pub const CLASS: &str = "tarragon-class";
+/// What a gate must know of an attempt, with an authentication code, in hexadecimal.
+pub const PASSPORT: &str = "tarragon-passport";
 /// Milliseconds left until the deadline; callers may set it too.
 pub const DEADLINE: &str = "tarragon-deadline-ms";
-/// Wall-clock time of sending, milliseconds since the Unix epoch.
-pub const SENT: &str = "tarragon-sent-ms";
-/// Authentication code over the headers above.
-pub const AUTH: &str = "tarragon-auth";
 /// Requests at the target and waiting, told with each answer of a gate.
 pub const LOAD: &str = "tarragon-load";
+/// Milliseconds after which a gate that refused may have room.
+pub const BACKLOG: &str = "tarragon-backlog-ms";
 /// Attempts that the request may still use, further down a chain of calls too.
 pub const ATTEMPTS_LEFT: &str = "tarragon-attempts-left";
 
 /// Headers that only nodes set; they are removed from callers' requests and targets' answers.
-pub const INTERNAL: [&str; 6] = [ATTEMPT, INCARNATION, CLASS, SENT, AUTH, LOAD];
+pub const INTERNAL: [&str; 3] = [PASSPORT, LOAD, BACKLOG];
 
 /// What the headers of a request to a gate say.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,66 +32,96 @@
     pub attempt: AttemptId,
     /// The life of the gate that is meant.
     pub incarnation: Incarnation,
-    /// Priority.
+    /// What kind of work it is.
     pub class: Class,
+    /// Rank; zero is the highest.
+    pub priority: u8,
+    /// Time left until the latency objective; zero once it has passed.
+    pub objective: Option<Duration>,
     /// Time left until the deadline.
     pub left: Duration,
     /// Wall-clock time of sending, milliseconds since the Unix epoch.
     pub sent: u64,
 }
 
+/// Wire form of [`Passport`]; durations in milliseconds.
+#[derive(Serialize, Deserialize)]
+struct WirePassport {
+    attempt: [u8; 16],
+    incarnation: u64,
+    class: u8,
+    priority: u8,
+    objective: Option<u64>,
+    left: u64,
+    sent: u64,
+}
+
+impl From<&Passport> for WirePassport {
+    fn from(p: &Passport) -> WirePassport {
+        WirePassport {
+            attempt: p.attempt.0.to_le_bytes(),
+            incarnation: p.incarnation.0,
+            class: p.class as u8,
+            priority: p.priority,
+            objective: p.objective.map(|o| o.as_millis() as u64),
+            left: p.left.as_millis() as u64,
+            sent: p.sent,
+        }
+    }
+}
+
+impl TryFrom<WirePassport> for Passport {
+    type Error = WireError;
+
+    fn try_from(wire: WirePassport) -> Result<Passport, WireError> {
+        let class = Class::ALL.get(usize::from(wire.class));
+        Ok(Passport {
+            attempt: AttemptId(u128::from_le_bytes(wire.attempt)),
+            incarnation: Incarnation(wire.incarnation),
+            class: *class.ok_or(WireError::Bounds("class"))?,
+            priority: wire.priority,
+            objective: wire.objective.map(Duration::from_millis),
+            left: Duration::from_millis(wire.left),
+            sent: wire.sent,
+        })
+    }
+}
+
 impl Passport {
-    /// Adds the headers to a request.
+    /// Adds the header to a request.
     pub fn write(&self, key: &FleetKey, headers: &mut HeaderMap) {
-        let mut put = |name: &'static str, value: String| {
-            let value = HeaderValue::from_str(&value).expect("digits and letters");
-            headers.insert(name, value);
-        };
-        put(ATTEMPT, self.attempt.to_string());
-        put(INCARNATION, self.incarnation.to_string());
-        put(CLASS, self.class.to_string());
-        put(DEADLINE, self.left.as_millis().to_string());
-        put(SENT, self.sent.to_string());
-        put(AUTH, hex(&key.mac(&[&self.covered()])));
+        let mut bytes = postcard::to_stdvec(&WirePassport::from(self)).unwrap_or_default();
+        let mac = key.mac(&[b"passport", &bytes]);
+        bytes.extend_from_slice(&mac);
+        let value = HeaderValue::from_str(&hex(&bytes)).expect("digits and letters");
+        headers.insert(PASSPORT, value);
     }
 
-    /// Reads and checks the headers of a request.
+    /// Reads and checks the header of a request.
     ///
     /// # Errors
-    /// [`WireError`] when one is absent or malformed, or they are not authentic.
+    /// [`WireError`] when it is absent, malformed, or not authentic.
     pub fn read(key: &FleetKey, headers: &HeaderMap) -> Result<Passport, WireError> {
-        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
-        let number = |name| text(name).and_then(|t| t.parse().ok());
-        let passport = || {
-            Some(Passport {
-                attempt: AttemptId(parse_hex(text(ATTEMPT)?)?),
-                incarnation: Incarnation(number(INCARNATION)?),
-                class: Class::parse(text(CLASS)?)?,
-                left: Duration::from_millis(number(DEADLINE)?),
-                sent: number(SENT)?,
-            })
-        };
-        let passport = passport().ok_or(WireError::Malformed)?;
-        let mac = text(AUTH).and_then(unhex).ok_or(WireError::Authentic)?;
-        if !key.verify(&[&passport.covered()], &mac) {
+        let text = headers.get(PASSPORT).and_then(|v| v.to_str().ok());
+        let bytes = text.and_then(unhex).ok_or(WireError::Malformed)?;
+        let split = bytes.len().checked_sub(MAC_BYTES);
+        let (body, mac) = bytes.split_at(split.ok_or(WireError::Malformed)?);
+        if !key.verify(&[b"passport", body], mac) {
             return Err(WireError::Authentic);
         }
-        Ok(passport)
-    }
-
-    fn covered(&self) -> Vec<u8> {
-        let mut bytes = b"passport".to_vec();
-        bytes.extend_from_slice(&self.attempt.0.to_le_bytes());
-        bytes.extend_from_slice(&self.incarnation.0.to_le_bytes());
-        bytes.push(self.class as u8);
-        bytes.extend_from_slice(&(self.left.as_millis() as u64).to_le_bytes());
-        bytes.extend_from_slice(&self.sent.to_le_bytes());
-        bytes
+        let wire: WirePassport = postcard::from_bytes(body)?;
+        wire.try_into()
     }
 }
 
 fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|b| format!("{b:02x}")).collect()
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    let mut text = String::with_capacity(2 * bytes.len());
+    for b in bytes {
+        text.push(char::from(DIGITS[usize::from(b >> 4)]));
+        text.push(char::from(DIGITS[usize::from(b & 15)]));
+    }
+    text
 }
 
 fn unhex(text: &str) -> Option<Vec<u8>> {
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -4,6 +4,7 @@
 //! whatever comes from outside is checked on the way in.
 
 pub mod datagram;
+pub mod dialect;
 pub mod frame;
 pub mod headers;
 pub mod key;
--- a/src/protocol/record.rs
+++ b/src/protocol/record.rs
@@ -118,6 +118,7 @@
     let doc: ChangeDoc = from_json(text)?;
     let edits: Vec<Edit> = convert(doc.edits)?;
     let delta = Delta {
+        base: Version(doc.version.saturating_sub(1)),
         version: Version(doc.version),
         digest: digest(&doc.digest)?,
         change: change(&doc.change)?,
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -10,7 +10,9 @@
 use crate::state::digest::Digest;
 use crate::state::id::{ChangeId, Incarnation, Path, PathError, Version};
 use crate::state::member::{Beside, Health, Record};
-use crate::state::object::{Class, Idempotency, Object, Route, Service, TargetSettings, Team};
+use crate::state::object::{
+    Class, Idempotency, Limits, Object, Part, Route, Service, TargetSettings, Team,
+};
 use crate::state::snapshot::{Delta, Edit, Entry, Snapshot};
 
 /// Why something from the wire was not understood.
@@ -67,6 +69,17 @@
     },
     /// A route.
     Route(Box<WireRoute>),
+    /// Bounds on callers.
+    Limits {
+        /// Head, in bytes.
+        head: u64,
+        /// Body, in bytes.
+        body: u64,
+        /// Time for a head, in milliseconds.
+        patience: u64,
+        /// Idle time, in milliseconds.
+        idle: u64,
+    },
 }
 
 /// Wire form of [`Route`]; durations in milliseconds.
@@ -75,8 +88,10 @@
     host: Option<String>,
     prefix: String,
     methods: Vec<String>,
-    service: String,
+    parts: Vec<(String, u32)>,
     class: u8,
+    priority: u8,
+    objective: Option<u64>,
     deadline: u64,
     attempts: u8,
     idempotency: u8,
@@ -96,6 +111,12 @@
                 drained: t.drained,
             },
             Object::Route(r) => WireObject::Route(Box::new(r.into())),
+            Object::Limits(l) => WireObject::Limits {
+                head: l.head as u64,
+                body: l.body,
+                patience: l.patience.as_millis() as u64,
+                idle: l.idle.as_millis() as u64,
+            },
         }
     }
 }
@@ -106,8 +127,14 @@
             host: r.host.clone(),
             prefix: r.prefix.clone(),
             methods: r.methods.to_vec(),
-            service: r.service.to_string(),
+            parts: r
+                .parts
+                .iter()
+                .map(|p| (p.service.to_string(), p.weight))
+                .collect(),
             class: r.class as u8,
+            priority: r.priority,
+            objective: r.objective.map(|o| o.as_millis() as u64),
             deadline: r.deadline.as_millis() as u64,
             attempts: r.attempts,
             idempotency: r.idempotency as u8,
@@ -142,6 +169,18 @@
             }
             .into(),
             WireObject::Route(r) => Route::try_from(*r)?.into(),
+            WireObject::Limits {
+                head,
+                body,
+                patience,
+                idle,
+            } => Limits {
+                head: usize::try_from(head).map_err(|_| WireError::Bounds("head"))?,
+                body,
+                patience: Duration::from_millis(patience),
+                idle: Duration::from_millis(idle),
+            }
+            .into(),
         })
     }
 }
@@ -161,7 +200,9 @@
             host: wire.host,
             prefix: wire.prefix,
             methods: wire.methods.into(),
-            service: Path::new(&wire.service)?,
+            parts: wire.parts.into_iter().map(part).collect::<Result<_, _>>()?,
+            priority: wire.priority,
+            objective: wire.objective.map(Duration::from_millis),
             class: *class.ok_or(WireError::Bounds("class"))?,
             deadline: Duration::from_millis(wire.deadline),
             attempts: wire.attempts,
@@ -171,6 +212,11 @@
     }
 }
 
+fn part((service, weight): (String, u32)) -> Result<Part, WireError> {
+    let service = Path::new(&service)?;
+    Ok(Part { service, weight })
+}
+
 /// Wire form of [`Entry`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WireEntry {
@@ -233,6 +279,7 @@
 /// Wire form of [`Delta`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WireDelta {
+    base: u64,
     version: u64,
     digest: [u8; 32],
     change: u128,
@@ -243,6 +290,7 @@
 impl From<&Delta> for WireDelta {
     fn from(d: &Delta) -> WireDelta {
         WireDelta {
+            base: d.base.0,
             version: d.version.0,
             digest: d.digest.0,
             change: d.change.0,
@@ -258,6 +306,7 @@
     fn try_from(wire: WireDelta) -> Result<Delta, WireError> {
         let edits = wire.edits.into_iter().map(Edit::try_from);
         Ok(Delta {
+            base: Version(wire.base),
             version: Version(wire.version),
             digest: Digest(wire.digest),
             change: ChangeId(wire.change),
@@ -309,7 +358,7 @@
     zone: String,
     health: u8,
     watcher: bool,
-    target: Option<(String, String, u32)>,
+    target: Option<WireBeside>,
 }
 
 const HEALTHS: [Health; 6] = [
@@ -332,7 +381,7 @@
             zone: r.zone.to_string(),
             health: r.health as u8,
             watcher: r.watcher,
-            target: target.map(|t| (t.instance.to_string(), t.service.to_string(), t.slots)),
+            target: target.map(WireBeside::from),
         }
     }
 }
@@ -350,17 +399,45 @@
             zone: wire.zone.into(),
             health: *health.ok_or(WireError::Bounds("health"))?,
             watcher: wire.watcher,
-            target: wire.target.map(beside).transpose()?,
+            target: wire.target.map(Beside::try_from).transpose()?,
         })
     }
 }
 
-fn beside((instance, service, slots): (String, String, u32)) -> Result<Beside, WireError> {
-    Ok(Beside {
-        instance: instance.into(),
-        service: Path::new(&service)?,
-        slots,
-    })
+/// Wire form of [`Beside`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireBeside {
+    instance: String,
+    service: String,
+    slots: u32,
+    report: (u64, u64),
+    leaving: bool,
+}
+
+impl From<&Beside> for WireBeside {
+    fn from(t: &Beside) -> WireBeside {
+        WireBeside {
+            instance: t.instance.to_string(),
+            service: t.service.to_string(),
+            slots: t.slots,
+            report: t.report,
+            leaving: t.leaving,
+        }
+    }
+}
+
+impl TryFrom<WireBeside> for Beside {
+    type Error = WireError;
+
+    fn try_from(wire: WireBeside) -> Result<Beside, WireError> {
+        Ok(Beside {
+            instance: wire.instance.into(),
+            service: Path::new(&wire.service)?,
+            slots: wire.slots,
+            report: wire.report,
+            leaving: wire.leaving,
+        })
+    }
 }
 
 /// Converts a list of wire forms, refusing all if one is refused.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -8,6 +8,7 @@
 
 use super::faults::Faults;
 use super::store::{Calls, Store, VALUE_MAX};
+use crate::protocol::dialect::Native;
 use crate::transport::platform::{Platform, PlatformError, PlatformResult, Value};
 
 #[derive(Debug)]
@@ -145,6 +146,12 @@
 }
 
 impl Platform for MemoryPlatform {
+    type Dialect = Native;
+
+    fn dialect(&self) -> &Native {
+        &Native
+    }
+
     async fn get(&self, key: &str) -> PlatformResult<Option<Value>> {
         self.enter(Kind::Read).await?;
         Ok(self.lock().store.get(key))
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -12,8 +12,9 @@
 use super::faults::Faults;
 use super::platform::MemoryPlatform;
 use super::store::VALUE_MAX;
+use crate::protocol::dialect::header_number;
 use crate::transport::http::{
-    Endpoint, empty, full, header_number, json as json_response, query_number, read_body,
+    Endpoint, empty, full, json as json_response, query_number, read_body,
 };
 use crate::transport::kv::{EXPECT_HEADER, LEASE_HEADER, REVISION_HEADER};
 use crate::transport::platform::{Platform, PlatformError, Value};
@@ -49,6 +50,7 @@
         answered.unwrap_or_else(|e| match e {
             PlatformError::NoAnswer => empty(StatusCode::INTERNAL_SERVER_ERROR),
             PlatformError::Refused(why) => text(StatusCode::TOO_MANY_REQUESTS, why),
+            PlatformError::Compacted => empty(StatusCode::GONE),
         })
     }
 }
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -53,6 +53,10 @@
     pub service: Path,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Order among the target's own reports: its start, then the number of the report.
+    pub report: (u64, u64),
+    /// Whether the target has said that it stops; it takes no new work.
+    pub leaving: bool,
 }
 
 /// What one node says of itself. Identified by its peer address.
--- a/src/state/object.rs
+++ b/src/state/object.rs
@@ -19,6 +19,8 @@
     Target(TargetSettings),
     /// Which requests go to which service, and under what policy.
     Route(Route),
+    /// Bounds on what callers may send.
+    Limits(Limits),
 }
 
 /// The owner of the subtree named by its path's only segment.
@@ -83,6 +85,11 @@
     pub fn parse(text: &str) -> Option<Class> {
         Class::ALL.into_iter().find(|c| c.to_string() == text)
     }
+
+    /// The priority of the class's requests where a route names none; zero is the highest.
+    pub fn priority(self) -> u8 {
+        self as u8
+    }
 }
 
 /// Which requests of a route may run more than once.
@@ -109,10 +116,14 @@
     pub prefix: String,
     /// Methods in upper case; empty matches any method.
     pub methods: SmallVec<[String; 4]>,
-    /// Path of the service that answers.
-    pub service: Path,
-    /// Priority at the gate.
+    /// Services that answer, by weight.
+    pub parts: SmallVec<[Part; 1]>,
+    /// What kind of work it is.
     pub class: Class,
+    /// Rank at the gate; zero is the highest.
+    pub priority: u8,
+    /// Time within which an answer is worth most to the caller.
+    pub objective: Option<Duration>,
     /// Longest time a request may take.
     pub deadline: Duration,
     /// Most attempts a request may use, the first included.
@@ -123,6 +134,46 @@
     pub keyed: bool,
 }
 
+/// A service's share of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// Path of the service.
+    pub service: Path,
+    /// Share, relative to the weights of the route's other parts.
+    pub weight: u32,
+}
+
+impl Part {
+    /// The only part of a route that goes to one service.
+    pub fn whole(service: Path) -> Part {
+        Part { service, weight: 1 }
+    }
+}
+
+/// Bounds on what callers may send, for every node of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest request head, in bytes.
+    pub head: usize,
+    /// Largest request body, in bytes.
+    pub body: u64,
+    /// Longest time in which a request's head must arrive.
+    pub patience: Duration,
+    /// Time for which a connection is kept without a request.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            head: 64 << 10,
+            body: 1 << 40,
+            patience: Duration::from_secs(10),
+            idle: Duration::from_secs(10),
+        }
+    }
+}
+
 impl Object {
     /// The settings name of the object's kind.
     pub fn kind(&self) -> &'static str {
@@ -131,15 +182,16 @@
             Object::Service(_) => "service",
             Object::Target(_) => "target",
             Object::Route(_) => "route",
+            Object::Limits(_) => "limits",
         }
     }
 
-    /// The service that the object refers to, if it refers to one.
-    pub fn service(&self) -> Option<&Path> {
+    /// The services that the object refers to.
+    pub fn services(&self) -> SmallVec<[&Path; 2]> {
         match self {
-            Object::Target(t) => Some(&t.service),
-            Object::Route(r) => Some(&r.service),
-            Object::Team(_) | Object::Service(_) => None,
+            Object::Target(t) => SmallVec::from_slice(&[&t.service]),
+            Object::Route(r) => r.parts.iter().map(|p| &p.service).collect(),
+            Object::Team(_) | Object::Service(_) | Object::Limits(_) => SmallVec::new(),
         }
     }
 
@@ -152,6 +204,7 @@
             Object::Service(s) => s.feed(&mut feed),
             Object::Target(t) => t.feed(&mut feed),
             Object::Route(r) => r.feed(&mut feed),
+            Object::Limits(l) => l.feed(&mut feed),
         }
         feed.finish()
     }
@@ -188,11 +241,26 @@
         for m in &self.methods {
             feed.text(m);
         }
-        feed.text(self.service.as_str());
+        feed.number(self.parts.len() as u64);
+        for p in &self.parts {
+            feed.text(p.service.as_str());
+            feed.number(p.weight.into());
+        }
         feed.number(self.class as u64);
+        feed.number(self.priority.into());
+        feed.number(self.objective.map_or(0, |o| o.as_millis() as u64));
         feed.number(self.deadline.as_millis() as u64);
         feed.number(self.attempts.into());
         feed.number(self.idempotency as u64);
         feed.number(self.keyed.into());
     }
 }
+
+impl Limits {
+    fn feed(&self, feed: &mut Feed) {
+        feed.number(self.head as u64);
+        feed.number(self.body);
+        feed.number(self.patience.as_millis() as u64);
+        feed.number(self.idle.as_millis() as u64);
+    }
+}
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -6,13 +6,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
 use super::id::{Incarnation, Path, Version};
 use super::member::{Health, MemberTable, Record};
-use super::object::{Object, Route, Service, TargetSettings};
+use super::object::{Limits, Object, Route, Service, TargetSettings};
 use super::snapshot::Snapshot;
 
 /// A target that a request can be sent to, through the gate of the node beside it.
@@ -50,6 +51,16 @@
     pub path: Path,
     /// The route.
     pub route: Route,
+    /// Requests drawn so far, for routes that are split. Starts at random, so that the nodes of a
+    /// fleet do not draw in step.
+    turns: Arc<AtomicU64>,
+}
+
+impl RouteEntry {
+    /// Number of the next request, for drawing its part.
+    pub fn turn(&self) -> u64 {
+        self.turns.fetch_add(1, Ordering::Relaxed)
+    }
 }
 
 type HostRoutes = HashMap<String, SmallVec<[Arc<RouteEntry>; 2]>>;
@@ -60,6 +71,7 @@
     hosts: HashMap<String, HostRoutes>,
     any: HostRoutes,
     targets: HashMap<String, TargetSettings>,
+    limits: Limits,
 }
 
 /// Routes, services and targets that were joined together.
@@ -90,6 +102,7 @@
                 Object::Service(s) => {
                     services.insert(e.path.clone(), s.clone());
                 }
+                Object::Limits(l) => index.limits = *l,
                 Object::Team(_) => {}
             }
         }
@@ -164,6 +177,11 @@
         named.flat_map(|h| h.values().flatten())
     }
 
+    /// Bounds on what callers may send.
+    pub fn limits(&self) -> &Limits {
+        &self.index.limits
+    }
+
     /// Settings of a target instance, by its name.
     pub fn target(&self, instance: &str) -> Option<&TargetSettings> {
         self.index.targets.get(instance)
@@ -183,7 +201,7 @@
     }
 
     fn candidate(&self, record: &Record) -> Option<Candidate> {
-        let beside = record.target.as_ref()?;
+        let beside = record.target.as_ref().filter(|t| !t.leaving)?;
         let settings = self.target(&beside.instance);
         if settings.is_some_and(|t| t.drained) {
             return None;
@@ -205,6 +223,7 @@
         let entry = Arc::new(RouteEntry {
             path: path.clone(),
             route: route.clone(),
+            turns: Arc::new(AtomicU64::new(fastrand::u64(..1 << 20))),
         });
         let routes = match &route.host {
             Some(h) => self.hosts.entry(h.clone()).or_default(),
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -8,9 +8,12 @@
 
 use derive_more::Display;
 use serde::{Deserialize, de};
+use smallvec::{SmallVec, smallvec};
 
 use super::id::Path;
-use super::object::{Class, Idempotency, Object, Route, Service, TargetSettings, Team};
+use super::object::{
+    Class, Idempotency, Limits, Object, Part, Route, Service, TargetSettings, Team,
+};
 use super::snapshot::{Edit, Entry};
 use super::units::{parse_duration, show_duration};
 
@@ -25,6 +28,11 @@
 /// Longest ramp a target may be given.
 pub const RAMP_MAX: Duration = Duration::from_secs(600);
 
+/// Smallest bound on a request's head, in bytes.
+pub const HEAD_MIN: usize = 8 << 10;
+/// Largest bound on a request's head, in bytes.
+pub const HEAD_MAX: usize = 1 << 20;
+
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(10);
 const RAMP_DEFAULT: Duration = Duration::from_secs(10);
 const ATTEMPTS_DEFAULT: u8 = 3;
@@ -116,6 +124,12 @@
             line("drained", t.drained.to_string());
         }
         Object::Route(r) => show_route(r, line),
+        Object::Limits(l) => {
+            line("head", l.head.to_string());
+            line("body", l.body.to_string());
+            line("patience", show_duration(l.patience));
+            line("idle", show_duration(l.idle));
+        }
     }
     out
 }
@@ -124,8 +138,21 @@
     r.host.iter().for_each(|h| line("host", h.clone()));
     line("prefix", r.prefix.clone());
     line("methods", format!("[{}]", r.methods.join(", ")));
-    line("service", r.service.to_string());
+    match r.parts.as_slice() {
+        [only] if only.weight == 1 => line("service", only.service.to_string()),
+        parts => {
+            let shares = parts.iter().map(|p| format!("{}: {}", p.service, p.weight));
+            let shares: Vec<String> = shares.collect();
+            line("split", format!("{{{}}}", shares.join(", ")));
+        }
+    }
     line("class", r.class.to_string());
+    if r.priority != r.class.priority() {
+        line("priority", r.priority.to_string());
+    }
+    r.objective
+        .iter()
+        .for_each(|o| line("objective", show_duration(*o)));
     line("deadline", show_duration(r.deadline));
     line("attempts", r.attempts.to_string());
     line("idempotent", r.idempotency.to_string());
@@ -200,8 +227,9 @@
         Some("service") => read::<RawService, Service>(doc).map(Object::Service),
         Some("target") => read::<RawTarget, TargetSettings>(doc).map(Object::Target),
         Some("route") => read::<RawRoute, Route>(doc).map(Object::Route),
+        Some("limits") => read::<RawLimits, Limits>(doc).map(Object::Limits),
         Some(other) => Err(de::Error::custom(format!(
-            "kind `{other}` is not known; use team, service, target or route"
+            "kind `{other}` is not known; use team, service, target, route or limits"
         ))),
         None => Err(de::Error::custom("missing field `kind`; add `kind:`")),
     }
@@ -291,8 +319,12 @@
     prefix: String,
     #[serde(default)]
     methods: Vec<String>,
-    service: String,
+    service: Option<String>,
+    #[serde(default)]
+    split: BTreeMap<String, u32>,
     class: Option<String>,
+    priority: Option<u8>,
+    objective: Option<String>,
     deadline: Option<String>,
     attempts: Option<u8>,
     idempotent: Option<String>,
@@ -300,6 +332,19 @@
     keyed: bool,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct RawLimits {
+    #[serde(rename = "kind")]
+    _kind: String,
+    #[serde(rename = "path")]
+    _path: String,
+    head: Option<usize>,
+    body: Option<u64>,
+    patience: Option<String>,
+    idle: Option<String>,
+}
+
 fn duration(name: &str, text: Option<&str>, default: Duration) -> Result<Duration, String> {
     let parsed = text.map_or(Ok(default), parse_duration);
     parsed.map_err(|e| format!("{name} {e}"))
@@ -366,6 +411,9 @@
     fn try_from(raw: RawRoute) -> Result<Route, String> {
         let deadline = duration("deadline", raw.deadline.as_deref(), DEADLINE_DEFAULT)?;
         let attempts = raw.attempts.unwrap_or(ATTEMPTS_DEFAULT);
+        let class = raw.class.as_deref().map_or(Ok(Class::default()), class)?;
+        let objective = raw.objective.as_deref().map(parse_duration).transpose();
+        let objective = objective.map_err(|e| format!("objective {e}"))?;
         if !raw.prefix.starts_with('/') {
             return Err(format!(
                 "prefix `{}` must start with `/`; add it",
@@ -385,8 +433,10 @@
                 .into_iter()
                 .map(method)
                 .collect::<Result<_, _>>()?,
-            service: Path::new(&raw.service).map_err(|e| e.to_string())?,
-            class: raw.class.as_deref().map_or(Ok(Class::default()), class)?,
+            parts: parts(raw.service, raw.split)?,
+            priority: raw.priority.unwrap_or(class.priority()),
+            class,
+            objective,
             deadline,
             attempts,
             idempotency: raw
@@ -398,6 +448,47 @@
     }
 }
 
+impl TryFrom<RawLimits> for Limits {
+    type Error = String;
+
+    fn try_from(raw: RawLimits) -> Result<Limits, String> {
+        let open = Limits::default();
+        let limits = Limits {
+            head: raw.head.unwrap_or(open.head),
+            body: raw.body.unwrap_or(open.body),
+            patience: duration("patience", raw.patience.as_deref(), open.patience)?,
+            idle: duration("idle", raw.idle.as_deref(), open.idle)?,
+        };
+        within("head", limits.head, HEAD_MIN, HEAD_MAX)?;
+        if limits.patience.is_zero() || limits.idle.is_zero() {
+            return Err("patience and idle must be positive; write such as `10s`".to_string());
+        }
+        Ok(limits)
+    }
+}
+
+fn parts(
+    service: Option<String>,
+    split: BTreeMap<String, u32>,
+) -> Result<SmallVec<[Part; 1]>, String> {
+    let path = |text: &str| Path::new(text).map_err(|e| e.to_string());
+    match (service, split.is_empty()) {
+        (Some(service), true) => Ok(smallvec![Part::whole(path(&service)?)]),
+        (None, false) if split.values().all(|w| *w == 0) => {
+            Err("split gives no service a weight; make one positive".to_string())
+        }
+        (None, false) => split
+            .into_iter()
+            .map(|(service, weight)| {
+                let service = path(&service)?;
+                Ok(Part { service, weight })
+            })
+            .collect(),
+        (Some(_), false) => Err("service and split exclude each other; remove one".to_string()),
+        (None, true) => Err("missing field `service`; add it, or `split`".to_string()),
+    }
+}
+
 fn method(text: String) -> Result<String, String> {
     let valid = !text.is_empty() && text.bytes().all(|b| b.is_ascii_uppercase());
     if valid {
--- a/src/state/snapshot.rs
+++ b/src/state/snapshot.rs
@@ -41,9 +41,11 @@
     }
 }
 
-/// The step from one version to the next.
+/// The step from one version to a later one.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Delta {
+    /// The version that the delta follows.
+    pub base: Version,
     /// The version that the delta produces.
     pub version: Version,
     /// Digest of the whole configuration after the delta.
@@ -193,7 +195,7 @@
     /// [`ApplyError::Gap`] when versions are missing; [`ApplyError::Digest`] when the result is
     /// not the configuration that was accepted.
     pub fn apply(&self, delta: &Delta) -> Result<Snapshot, ApplyError> {
-        if delta.version != self.version.next() {
+        if delta.base != self.version || delta.version <= self.version {
             return Err(ApplyError::Gap {
                 held: self.version,
                 to: delta.version,
@@ -210,6 +212,37 @@
         Ok(next)
     }
 
+    /// Builds a snapshot from entries that come from outside the system, so that no digest is
+    /// known beforehand. Every node that builds from the same entries gets the same digest.
+    ///
+    /// ```
+    /// use tarragoncourse::state::{id::Version, snapshot::Snapshot};
+    /// let built = Snapshot::import(Version(7), Vec::new());
+    /// assert_eq!(built.digest(), Snapshot::default().digest());
+    /// ```
+    pub fn import(version: Version, entries: Vec<Entry>) -> Snapshot {
+        let edits: Vec<Edit> = entries
+            .into_iter()
+            .map(|e| Edit::Put(e.path, e.object))
+            .collect();
+        let mut built = Snapshot::default().preview(&edits);
+        built.version = version;
+        built.change = ChangeId(version.0.into());
+        built
+    }
+
+    /// The delta that leads from this configuration to a later one.
+    pub fn delta_to(&self, later: &Snapshot, author: &str) -> Delta {
+        Delta {
+            base: self.version,
+            version: later.version,
+            digest: later.digest,
+            change: later.change,
+            author: author.to_string(),
+            edits: self.edits_to(later),
+        }
+    }
+
     /// The edits that turn this configuration into another one.
     pub fn edits_to(&self, other: &Snapshot) -> Vec<Edit> {
         let pairs = self.buckets.iter().zip(&other.buckets);
--- a/src/state/validate.rs
+++ b/src/state/validate.rs
@@ -89,6 +89,15 @@
         .collect()
 }
 
+/// Checks the references of a configuration that an operator outside the system has accepted and
+/// that knows no teams. An empty result means that it may be put in force.
+pub fn check_references(config: &Snapshot) -> Vec<Invalid> {
+    let entries = config.entries();
+    entries
+        .filter_map(|e| check_service(config, &e.path, &e.object))
+        .collect()
+}
+
 /// Checks a whole configuration. An empty result means that it may be accepted.
 ///
 /// ```
@@ -124,11 +133,13 @@
 }
 
 fn check_service(config: &Snapshot, path: &Path, object: &Object) -> Option<Invalid> {
-    let service = object.service()?;
-    let known = matches!(config.get(service).map(|o| &**o), Some(Object::Service(_)));
-    (!known).then(|| Invalid::MissingService {
+    let known =
+        |service: &Path| matches!(config.get(service).map(|o| &**o), Some(Object::Service(_)));
+    let services = object.services();
+    let missing = services.into_iter().find(|s| !known(s))?;
+    Some(Invalid::MissingService {
         path: path.clone(),
-        service: service.clone(),
+        service: missing.clone(),
     })
 }
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, Uri};
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
@@ -17,8 +17,11 @@
 /// Time for which written bytes may stay unacknowledged before the connection counts as broken:
 /// a lost zone swallows packets rather than refusing them.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time for which an unused connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which an unused connection to another node is kept.
+/// Shorter than the time after which a gate closes one.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Proofs in a row that may stay away.
+const KEEPALIVE_RETRIES: u32 = 2;
 /// Most unused connections kept to one address.
 const IDLE_MAX: usize = 64;
 
@@ -31,13 +34,46 @@
     Broken,
 }
 
+/// The connection that a request went over.
+#[derive(Debug)]
+pub struct Route(CaptureConnection);
+
+impl Route {
+    /// Keeps the connection from being used again.
+    pub fn discard(&self) {
+        if let Some(connected) = self.0.connection_metadata().as_ref() {
+            connected.poison();
+        }
+    }
+}
+
 /// A pooled HTTP/1.1 client.
 #[derive(Clone, Debug)]
 pub struct HttpClient(Client<HttpConnector, Body>);
 
 impl Default for HttpClient {
     fn default() -> Self {
+        HttpClient::with_idle(IDLE_TIMEOUT)
+    }
+}
+
+impl HttpClient {
+    /// A client that keeps unused connections for a time.
+    pub fn with_idle(idle: Duration) -> HttpClient {
+        HttpClient::build(HttpConnector::new(), idle)
+    }
+
+    /// A client whose connections must prove, after each interval of silence, that they still
+    /// stand. A long wait for an answer then ends soon after the connection went silent.
+    pub fn with_keepalive(interval: Duration) -> HttpClient {
         let mut connector = HttpConnector::new();
+        connector.set_keepalive(Some(interval));
+        connector.set_keepalive_interval(Some(interval));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+        HttpClient::build(connector, IDLE_TIMEOUT)
+    }
+
+    fn build(mut connector: HttpConnector, idle: Duration) -> HttpClient {
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_tcp_user_timeout(Some(UNACKED_TIMEOUT));
@@ -45,19 +81,36 @@
         // request was written to it: it then still holds the request whole.
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_idle_timeout(idle)
             .pool_max_idle_per_host(IDLE_MAX)
             .build(connector);
         HttpClient(client)
     }
-}
 
-impl HttpClient {
     /// Sends a request to an address, keeping the request's path and query.
     ///
     /// # Errors
     /// [`SendError`] tells whether the request may have been written.
     pub async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        let (answer, _) = self.send_routed(to, request).await;
+        answer
+    }
+
+    /// Sends a request as [`HttpClient::send`] does, and tells which connection it went over.
+    pub async fn send_routed(
+        &self,
+        to: SocketAddr,
+        mut request: Request<Body>,
+    ) -> (Result<Response<Body>, SendError>, Route) {
+        let route = Route(capture_connection(&mut request));
+        (self.exchange(to, request).await, route)
+    }
+
+    async fn exchange(
         &self,
         to: SocketAddr,
         mut request: Request<Body>,
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -6,6 +6,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, RefUnwindSafe, UnwindSafe};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use gotham::helpers::http::Body;
 use gotham::service::call_handler;
 use gotham::state::{FromState, State};
+use http_body::Body as HttpBody;
 use http_body_util::{BodyExt, Empty, Full};
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -24,12 +26,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+use super::pipeline::{Lookahead, Started, Turn, TurnGuard};
 use super::stall::StallGuard;
+use crate::state::object::Limits;
 
-/// Time within which a caller must send a request's head.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Largest request head, in bytes.
-const HEAD_MAX: usize = 64 << 10;
 /// Most headers of a request.
 const HEADERS_MAX: usize = 128;
 /// Pause after an accept error, such as too many open files.
@@ -40,6 +40,17 @@
     /// Answers one request. A dropped future means that the caller went away.
     fn call(self: Arc<Self>, request: Request<Body>)
     -> impl Future<Output = Response<Body>> + Send;
+
+    /// Whether a request without a body may be started while an earlier one on its connection is
+    /// still answered. It may then run though its caller never hears of it.
+    fn may_start_early(&self, _request: &Request<Body>) -> bool {
+        false
+    }
+
+    /// Bounds on what callers may send, taken for each new connection.
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
 }
 
 /// Bounds on a listener.
@@ -134,28 +145,56 @@
         return;
     };
     let _ = stream.set_nodelay(true);
-    let entry = Entry(endpoint);
+    let limits = endpoint.limits();
+    let turn = Arc::new(Turn::default());
+    let early = {
+        let endpoint = endpoint.clone();
+        move |request: Request<Body>| {
+            let may = endpoint.may_start_early(&request);
+            may.then(|| Started::new(tokio::spawn(answer(endpoint.clone(), request, peer))))
+        }
+    };
+    let stream = Lookahead::new(StallGuard::new(stream), turn.clone(), early);
     let service = service_fn(move |request: Request<hyper::body::Incoming>| {
-        let entry = entry.clone();
+        let endpoint = endpoint.clone();
+        let turn = TurnGuard(turn.clone());
         async move {
-            let state = State::from_request(request, peer);
-            let answered = call_handler(entry, AssertUnwindSafe(state)).await;
-            Ok::<_, Infallible>(
-                answered.unwrap_or_else(|_| empty(StatusCode::INTERNAL_SERVER_ERROR)),
-            )
+            let answered = match turn.0.take() {
+                Some(started) => started.answer().await,
+                None => Some(answer(endpoint, request, peer).await),
+            };
+            let failed = || empty(StatusCode::INTERNAL_SERVER_ERROR);
+            Ok::<_, Infallible>(answered.unwrap_or_else(failed))
         }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        // The timer runs between requests too, so it must not be shorter than the idle time.
+        .header_read_timeout(limits.patience.max(limits.idle))
         .max_headers(HEADERS_MAX)
-        .max_buf_size(HEAD_MAX);
-    let served = builder.serve_connection(TokioIo::new(StallGuard::new(stream)), service);
+        .max_buf_size(limits.head)
+        .auto_date_header(false);
+    let served = builder.serve_connection(TokioIo::new(stream), service);
     // An error here is the caller's: it broke off or sent what is not HTTP.
     let _ = watcher.watch(served).await;
 }
 
+/// Answers one request through gotham, which keeps a panic of the endpoint from going further.
+async fn answer<E, B>(endpoint: Arc<E>, request: Request<B>, peer: SocketAddr) -> Response<Body>
+where
+    E: Endpoint,
+    B: HttpBody<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
+{
+    let state = State::from_request(request, peer);
+    let answered = call_handler(Entry(endpoint), AssertUnwindSafe(state)).await;
+    answered.unwrap_or_else(|e| {
+        log::error!("request failed: {e}");
+        empty(StatusCode::INTERNAL_SERVER_ERROR)
+    })
+}
+
 /// A response without a body.
 pub fn empty(status: StatusCode) -> Response<Body> {
     let body = Body::new(Empty::new().map_err(|never| match never {}));
@@ -202,11 +241,6 @@
     Ok(collected.to_bytes())
 }
 
-/// A header's value as a number.
-pub fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
-}
-
 /// A number in a query such as `a=1&b=2`.
 ///
 /// ```
--- a/src/transport/kv.rs
+++ b/src/transport/kv.rs
@@ -10,6 +10,7 @@
 use super::client::{HttpClient, SendError};
 use super::http::{full_body, read_body};
 use super::platform::{Platform, PlatformError, PlatformResult, Value};
+use crate::protocol::dialect::Native;
 
 /// Header with the revision of the value read or written.
 pub const REVISION_HEADER: &str = "kv-revision";
@@ -105,6 +106,12 @@
 }
 
 impl Platform for HttpPlatform {
+    type Dialect = Native;
+
+    fn dialect(&self) -> &Native {
+        &Native
+    }
+
     async fn get(&self, key: &str) -> PlatformResult<Option<Value>> {
         let none = Duration::ZERO;
         let call = self.call(Method::GET, kv_path(key), &[], String::new(), none);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,5 +4,6 @@
 pub mod http;
 pub mod kv;
 pub mod link;
+pub mod pipeline;
 pub mod platform;
 pub mod stall;
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -3,10 +3,14 @@
 //! Another service is one more implementation of [`Platform`]. `docs/PLATFORM.md` states the
 //! surface and what the service must offer.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
 
+use crate::protocol::dialect::Dialect;
+use crate::state::snapshot::Snapshot;
+
 /// A value with the revision that last wrote it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Value {
@@ -25,13 +29,64 @@
     /// The platform refused; the call did not take effect.
     #[display("the platform refused the call: {_0}")]
     Refused(#[error(not(source))] String),
+    /// The history after the given revision is gone.
+    #[display("the platform no longer has this history; read the value anew")]
+    Compacted,
+}
+
+/// A whole configuration that an operator outside the system keeps in the platform.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// The configuration.
+    pub snapshot: Arc<Snapshot>,
+    /// Where a watch goes on.
+    pub revision: u64,
+}
+
+/// What a watch on the operator's document found.
+#[derive(Clone, Debug)]
+pub struct Watched {
+    /// The newest document, if it changed.
+    pub document: Option<Arc<Snapshot>>,
+    /// Where the next watch goes on.
+    pub revision: u64,
 }
 
 /// The result of a call.
 pub type PlatformResult<T> = Result<T, PlatformError>;
 
-/// A key-value service with compare-and-swap, leases and watches.
+/// A key-value service with compare-and-swap, leases and watches, and the surroundings that come
+/// with it: how its callers and targets speak, and who keeps the configuration.
 pub trait Platform: Clone + Send + Sync + 'static {
+    /// How callers and targets speak.
+    type Dialect: Dialect;
+
+    /// Whether an operator outside the system keeps the configuration, as a [`Document`]. The
+    /// system then only reads it, and its own operators' API refuses changes.
+    const EXTERNAL: bool = false;
+
+    /// How callers and targets speak.
+    fn dialect(&self) -> &Self::Dialect;
+
+    /// Reads the operator's document; none if there is none yet.
+    fn document(&self) -> impl Future<Output = PlatformResult<Option<Document>>> + Send {
+        async { Ok(None) }
+    }
+
+    /// Waits until the operator's document changes after a revision, at most for `wait`.
+    fn watch_document(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = PlatformResult<Watched>> + Send {
+        async move {
+            tokio::time::sleep(wait).await;
+            let document = None;
+            let revision = after;
+            Ok(Watched { document, revision })
+        }
+    }
+
     /// Reads a key.
     fn get(&self, key: &str) -> impl Future<Output = PlatformResult<Option<Value>>> + Send;
 
--- a/tests/fuzz_configuration.rs
+++ b/tests/fuzz_configuration.rs
@@ -444,7 +444,7 @@
         .filter(|e| e.object.kind() == "service")
         .map(|e| &e.path)
         .collect();
-    let mut named = snapshot.entries().filter_map(|e| e.object.service());
+    let mut named = snapshot.entries().flat_map(|e| e.object.services());
     named.all(|s| services.contains(&s))
 }
 
--- a/tests/fuzz_gate.rs
+++ b/tests/fuzz_gate.rs
@@ -79,6 +79,8 @@
             attempt: sent.attempt,
             incarnation: sent.incarnation,
             class: sent.class,
+            priority: sent.class.priority(),
+            objective: None,
             age: self.now - sent.sent,
             deadline: sent.deadline,
         };
@@ -233,6 +235,8 @@
         attempt: AttemptId(n),
         incarnation: Incarnation(1),
         class,
+        priority: class.priority(),
+        objective: None,
         age: Duration::ZERO,
         deadline: now + Duration::from_secs(60),
     }
--- a/tests/test_pick.rs
+++ b/tests/test_pick.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tarragoncourse::coordination::outcome::{Doubt, NotRun, Outcome};
-use tarragoncourse::coordination::pick::{Picker, Sign};
+use tarragoncourse::coordination::pick::{Picker, Sign, Wanted};
 use tarragoncourse::coordination::retry::{Next, RetryBudget, Trial, after};
 use tarragoncourse::state::id::Incarnation;
 use tarragoncourse::state::member::Health;
@@ -29,6 +29,13 @@
     Picker::new(fastrand::Rng::with_seed(1))
 }
 
+fn at(zone: &str) -> Wanted<'_> {
+    Wanted {
+        zone,
+        ..Wanted::default()
+    }
+}
+
 fn answered() -> Sign {
     Sign::Answered(0, Some(Duration::from_millis(1)))
 }
@@ -37,7 +44,7 @@
 fn spread(p: &mut Picker, c: &[Candidate], zone: &str, now: Instant) -> HashMap<SocketAddr, u32> {
     let mut counts = HashMap::new();
     for _ in 0..1000 {
-        let peer = p.pick(c, zone, &[], now).expect("a target").peer;
+        let peer = p.pick(c, at(zone), now).expect("a target").peer;
         p.done(peer, answered(), c, now);
         *counts.entry(peer).or_default() += 1;
     }
@@ -55,7 +62,7 @@
     assert_eq!(spread(&mut p, &c, "a", now).get(&c[0].peer), Some(&1000));
     // Eight attempts fill the near target to the spill share; the next goes elsewhere.
     let picked: Vec<_> = (0..12)
-        .map(|_| p.pick(&c, "a", &[], now).expect("a target").peer)
+        .map(|_| p.pick(&c, at("a"), now).expect("a target").peer)
         .collect();
     assert!(picked.iter().take(7).all(|peer| *peer == c[0].peer));
     assert!(picked.contains(&c[1].peer));
@@ -71,7 +78,7 @@
     // Attempts that last show the share: the cold target takes fewer at once.
     let hold = |p: &mut Picker, now| {
         let picked: Vec<_> = (0..10)
-            .map(|_| p.pick(&c, "a", &[], now).expect("a target").peer)
+            .map(|_| p.pick(&c, at("a"), now).expect("a target").peer)
             .collect();
         let cold = picked.iter().filter(|peer| **peer == c[0].peer).count();
         picked
@@ -110,9 +117,9 @@
         .expect("ejected first")
         .peer;
     let only: Vec<_> = c.iter().filter(|t| t.peer == back).cloned().collect();
-    assert_eq!(p.pick(&only, "a", &[], now).map(|t| t.peer), Some(back));
+    assert_eq!(p.pick(&only, at("a"), now).map(|t| t.peer), Some(back));
     let others: Vec<_> = (0..50)
-        .map(|_| p.pick(&c, "a", &[], now).expect("a target").peer)
+        .map(|_| p.pick(&c, at("a"), now).expect("a target").peer)
         .collect();
     assert!(!others.contains(&back), "a second attempt during the trial");
 }
@@ -123,12 +130,12 @@
     let c: Vec<_> = (1..=2).map(|n| candidate(n, "a", Health::Ready)).collect();
     let mut p = picker();
     for _ in 0..100 {
-        let peer = p.pick(&c, "a", &[], now).expect("a target").peer;
+        let peer = p.pick(&c, at("a"), now).expect("a target").peer;
         let took = Duration::from_millis(if peer == c[0].peer { 80 } else { 20 });
         p.done(peer, Sign::Answered(0, Some(took)), &c, now);
     }
     let picked: Vec<_> = (0..10)
-        .map(|_| p.pick(&c, "a", &[], now).expect("a target").peer)
+        .map(|_| p.pick(&c, at("a"), now).expect("a target").peer)
         .collect();
     assert!(
         picked.iter().filter(|peer| **peer == c[0].peer).count() <= 3,
@@ -145,6 +152,7 @@
             idempotent,
             replayable,
             made,
+            bounced: 0,
             allowed: 3,
             deadline: now + Duration::from_secs(1),
         };
@@ -185,7 +193,7 @@
     let mut shed = 0;
     for _ in 0..6000 {
         now += Duration::from_millis(1);
-        let peer = p.pick(&c, "a", &[], now).expect("a target").peer;
+        let peer = p.pick(&c, at("a"), now).expect("a target").peer;
         let sign = if peer == c[0].peer {
             shed += 1;
             Sign::Refused(0)
--- a/tests/test_protocol.rs
+++ b/tests/test_protocol.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smallvec::{SmallVec, smallvec};
+
 use arbtest::arbitrary::Unstructured;
 use fuzz::{below, chance};
 use tarragoncourse::coordination::members::{Brief, Message};
@@ -19,7 +21,7 @@
 use tarragoncourse::state::id::{AttemptId, Incarnation, Path, Version};
 use tarragoncourse::state::member::{Beside, Health, Record};
 use tarragoncourse::state::object::{
-    Class, Idempotency, Object, Route, Service, TargetSettings, Team,
+    Class, Idempotency, Limits, Object, Part, Route, Service, TargetSettings, Team,
 };
 use tarragoncourse::state::settings::{parse, show};
 use tarragoncourse::state::snapshot::{Entry, Snapshot};
@@ -45,6 +47,8 @@
             instance: format!("cutbook-{n}").into(),
             service: Path::new("guild/services/cutbook").unwrap(),
             slots: 16,
+            report: (1_796_000_000_000, 7),
+            leaving: false,
         }),
     }
 }
@@ -159,15 +163,23 @@
         attempt: AttemptId(77),
         incarnation: Incarnation(5),
         class: Class::Order,
+        priority: 1,
+        objective: Some(Duration::from_millis(90)),
         left: Duration::from_millis(250),
         sent: 1_796_000_000_000,
     };
     let mut headers = http::HeaderMap::new();
     passport.write(&key(), &mut headers);
     assert_eq!(Passport::read(&key(), &headers), Ok(passport));
-    headers.insert("tarragon-class", "lookup".parse().unwrap());
-    assert_eq!(Passport::read(&key(), &headers), Err(WireError::Authentic));
-    headers.remove("tarragon-class");
+    // Every digit is covered.
+    let written = headers["tarragon-passport"].to_str().unwrap().to_string();
+    for at in 0..written.len() {
+        let mut changed = written.clone().into_bytes();
+        changed[at] = if changed[at] == b'0' { b'1' } else { b'0' };
+        headers.insert("tarragon-passport", changed.try_into().unwrap());
+        assert_eq!(Passport::read(&key(), &headers), Err(WireError::Authentic));
+    }
+    headers.remove("tarragon-passport");
     assert_eq!(Passport::read(&key(), &headers), Err(WireError::Malformed));
 }
 
@@ -194,9 +206,21 @@
     });
 }
 
+fn parts(u: &mut Unstructured, service: Path) -> SmallVec<[Part; 1]> {
+    match chance(u, 70) {
+        true => smallvec![Part::whole(service)],
+        false => (0..2)
+            .map(|n| Part {
+                service: Path::new(&format!("guild/services/part-{n}")).unwrap(),
+                weight: 1 + below(u, 99) as u32,
+            })
+            .collect(),
+    }
+}
+
 fn object(u: &mut Unstructured) -> Object {
     let service = Path::new(&format!("guild/services/s{}", below(u, 9))).unwrap();
-    match below(u, 4) {
+    match below(u, 5) {
         0 => Team {
             token_hash: format!("{}:{}", "a".repeat(32), "b".repeat(64)),
         }
@@ -214,14 +238,23 @@
             drained: chance(u, 50),
         }
         .into(),
+        3 => Limits {
+            head: 8192 + below(u, 9000),
+            body: below(u, 1 << 30) as u64,
+            patience: Duration::from_millis(1 + below(u, 9000) as u64),
+            idle: Duration::from_millis(1 + below(u, 90_000) as u64),
+        }
+        .into(),
         _ => Route {
             host: chance(u, 50).then(|| "guild.example".to_string()),
             prefix: format!("/p{}", below(u, 9)),
             methods: (0..below(u, 3))
                 .map(|n| ["GET", "POST", "PUT"][n].to_string())
                 .collect(),
-            service,
+            parts: parts(u, service),
             class: Class::ALL[below(u, 4)],
+            priority: below(u, 6) as u8,
+            objective: chance(u, 50).then(|| Duration::from_millis(1 + below(u, 9000) as u64)),
             deadline: Duration::from_millis(1 + below(u, 3_600_000) as u64),
             attempts: 1 + below(u, 10) as u8,
             idempotency: [
