Waiting by earliest objective, refusal with headroom, early return

Change: within a priority the earliest objective goes first; service times by kind (priority and objective); slots that more urgent work keeps count in the wait; one and a half means must fit before the objective; a caller who comes back keeps the objective of its first try (told by the time it has left) and is asked back while it can still be met. Gates log each refusal with its inputs.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::outcome::{NotRun, Outcome};
-use super::queue::{Entry, Queue, Room, Waiting};
+use super::queue::{Entry, Kind, Queue, Room, Waiting};
 use crate::state::id::{AttemptId, Incarnation};
 use crate::state::object::Class;
 
@@ -35,8 +35,8 @@
     pub incarnation: Incarnation,
     /// What kind of work it is.
     pub class: Class,
-    /// Rank; zero is the highest.
-    pub priority: u8,
+    /// Whose service times it shares; gives its priority.
+    pub kind: Kind,
     /// When its latency objective passes.
     pub objective: Option<Instant>,
     /// Time since the sender sent it, by wall clocks.
@@ -89,7 +89,7 @@
     Running {
         since: Instant,
         class: Class,
-        priority: u8,
+        kind: Kind,
     },
     Ended(Outcome),
     Fenced,
@@ -162,9 +162,9 @@
         self.queue.mean()
     }
 
-    /// Time until an attempt of a priority that comes now would be handed over.
-    pub fn backlog(&self, priority: u8) -> Duration {
-        self.queue.wait(priority, self.room())
+    /// Time after which somebody of a kind who is refused now may find room.
+    pub fn backlog(&self, kind: Kind) -> Duration {
+        self.queue.room_after(kind, self.room())
     }
 
     /// Counts of decisions.
@@ -230,7 +230,9 @@
             };
             return (admission, Wakes::new());
         }
-        if let Some(reason) = self.reject(&offer, now) {
+        let rejected = self.reject(&offer, now);
+        self.queue.arrived(offer.kind, rejected.is_some());
+        if let Some(reason) = rejected {
             self.counts.refused += 1;
             // A copy that comes later must not run either. A stale offer, or one for another life,
             // is always refused; to remember it would vouch for what this life cannot know.
@@ -255,18 +257,14 @@
 
     /// An attempt at the target ended. Returns who runs next.
     pub fn finish(&mut self, attempt: AttemptId, outcome: Outcome, now: Instant) -> Wakes {
-        let Some(Fate::Running {
-            since,
-            class,
-            priority,
-        }) = self.fates.get(&attempt).copied()
-        else {
+        let Some(Fate::Running { since, class, kind }) = self.fates.get(&attempt).copied() else {
             return Wakes::new();
         };
         self.fates.insert(attempt, Fate::Ended(outcome));
         self.running -= 1;
+        self.queue.ended(kind);
         self.bulk -= u32::from(class == Class::Bulk);
-        self.learn(class, priority, outcome, now - since);
+        self.learn(class, kind, outcome, now - since);
         self.dispatch(now)
     }
 
@@ -358,12 +356,13 @@
 
     fn hand(&mut self, next: &Waiting, now: Instant) {
         self.running += 1;
+        self.queue.started(next.kind);
         self.bulk += u32::from(next.class == Class::Bulk);
         self.counts.handed += 1;
         let fate = Fate::Running {
             since: now,
             class: next.class,
-            priority: next.priority,
+            kind: next.kind,
         };
         self.fates.insert(next.attempt, fate);
     }
@@ -377,7 +376,7 @@
         wakes
     }
 
-    fn learn(&mut self, class: Class, priority: u8, outcome: Outcome, took: Duration) {
+    fn learn(&mut self, class: Class, kind: Kind, outcome: Outcome, took: Duration) {
         if outcome == Outcome::NotRun(NotRun::Shed) {
             self.counts.shed += 1;
             self.limit = (self.limit * SHED_FACTOR).max(1.0);
@@ -386,7 +385,7 @@
         if outcome != Outcome::Answered || class == Class::Bulk {
             return;
         }
-        self.queue.learn(priority, took);
+        self.queue.learn(kind, took);
         let grown = self.limit + 1.0 / self.limit;
         self.limit = grown.min(f64::from(self.slots));
     }
@@ -426,7 +425,7 @@
     Waiting {
         attempt: offer.attempt,
         class: offer.class,
-        priority: offer.priority,
+        kind: offer.kind,
         since: now,
         objective: offer.objective,
         deadline: offer.deadline,
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -1,13 +1,14 @@
 //! Who waits at a gate, who goes first, and who is turned away.
 //!
 //! The load that this answers: more work arrives than the target's slots can run, of several
-//! priorities, each request worth most within its latency objective, less until its deadline and
-//! nothing after. Waiting helps only while the wait is short against the objective, so a request
-//! that would miss it is refused on arrival, when the caller can still do something else. What is
-//! admitted goes by priority; within a priority, requests that can still meet their objective go
-//! before those that cannot.
+//! priorities and of very different lengths, each request worth most within its latency objective,
+//! less until its deadline and nothing after. Waiting helps only while the wait is short against
+//! the objective, so a request that would miss it is refused on arrival, when its caller can still
+//! do something else. What is admitted goes by priority; within a priority the earliest objective
+//! goes first, so that short lookups, for which other requests wait and hold slots, pass the long
+//! work between them. Requests that have missed their objective go last.
 
-use std::collections::VecDeque;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -27,18 +28,48 @@
 /// Share of the mean service time that must be left until the deadline: most requests take less
 /// than the mean.
 const LAST_CHANCE: f64 = 0.25;
+/// Share of the mean service time with which a request may still meet its objective.
+const LAST_HOPE: f64 = 0.5;
+/// Mean service times that must fit between a wait and the objective. Service times spread widely,
+/// so one mean would let two of five that waited miss it.
+const HEADROOM: f64 = 1.5;
 /// Longest wait, in mean service times, of a request that is already past its objective.
-const LATE_PATIENCE: f64 = 1.0;
+const LATE_PATIENCE: f64 = 0.5;
+/// Weight of the newest arrival in the share of a kind's arrivals that are refused.
+const PRESSURE_WEIGHT: f64 = 0.02;
+/// Share of refusals beyond which the overload is taken to last.
+const PRESSURE_LASTING: f64 = 0.1;
+/// Wait that is told while an overload lasts: longer than most callers have.
+const LASTING_WAIT: Duration = Duration::from_secs(2);
+/// Largest share of the slots that more urgent work is taken to keep.
+const KEPT_MAX: f64 = 0.8;
+/// Kinds of work whose service times are told apart; further ones share the mean of all.
+const KINDS_MAX: usize = 64;
+
+/// Work whose service times are alike: requests of routes of one priority and objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Kind {
+    /// Rank; zero is the highest.
+    pub priority: u8,
+    /// The route's latency objective, in milliseconds; zero for none.
+    pub objective: u32,
+}
+
+impl Kind {
+    fn level(self) -> usize {
+        usize::from(self.priority).min(LEVELS - 1)
+    }
+}
 
 /// An attempt that waits for a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct Waiting {
     /// Names the attempt.
     pub attempt: AttemptId,
-    /// What kind of work it is.
+    /// What sort of work it is.
     pub class: Class,
-    /// Rank; zero is the highest.
-    pub priority: u8,
+    /// Whose service times it shares.
+    pub kind: Kind,
     /// When it came.
     pub since: Instant,
     /// When its latency objective passes.
@@ -48,8 +79,9 @@
 }
 
 impl Waiting {
-    fn level(&self) -> usize {
-        usize::from(self.priority).min(LEVELS - 1)
+    /// When it should be answered at the latest to be worth most.
+    fn due(&self) -> Instant {
+        self.objective.unwrap_or(self.deadline)
     }
 }
 
@@ -82,23 +114,28 @@
 /// The waiting attempts of one gate, and the service times that the decisions rest on.
 #[derive(Debug, Default)]
 pub struct Queue {
-    levels: [VecDeque<Waiting>; LEVELS],
-    /// Mean service time by level, in seconds; zero before the first answer.
-    means: [f64; LEVELS],
-    /// Mean over all levels.
+    /// Each level by the time at which its attempts are due.
+    levels: [Vec<Waiting>; LEVELS],
+    /// Mean service times, in seconds.
+    means: HashMap<Kind, f64>,
+    /// Mean over all kinds, in seconds; zero before the first answer.
     mean: f64,
+    /// Share of each kind's recent arrivals that were refused.
+    pressure: HashMap<Kind, f64>,
+    /// Attempts of each kind at the target.
+    running: HashMap<Kind, u32>,
     dispatches: u32,
 }
 
 impl Queue {
     /// Attempts that wait.
     pub fn len(&self) -> usize {
-        self.levels.iter().map(VecDeque::len).sum()
+        self.levels.iter().map(Vec::len).sum()
     }
 
     /// Whether nobody waits.
     pub fn is_empty(&self) -> bool {
-        self.levels.iter().all(VecDeque::is_empty)
+        self.levels.iter().all(Vec::is_empty)
     }
 
     /// Mean service time of all answered attempts.
@@ -107,13 +144,14 @@
     }
 
     /// Takes in the service time of an answered attempt.
-    pub fn learn(&mut self, priority: u8, took: Duration) {
-        let level = usize::from(priority).min(LEVELS - 1);
+    pub fn learn(&mut self, kind: Kind, took: Duration) {
         let took = took.as_secs_f64();
-        for mean in [&mut self.means[level], &mut self.mean] {
-            if *mean == 0.0 {
-                *mean = took;
-            }
+        if self.mean == 0.0 {
+            self.mean = took;
+        }
+        self.mean += (took - self.mean) * MEAN_WEIGHT;
+        if self.means.len() < KINDS_MAX || self.means.contains_key(&kind) {
+            let mean = self.means.entry(kind).or_insert(took);
             *mean += (took - *mean) * MEAN_WEIGHT;
         }
     }
@@ -122,18 +160,19 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tarragoncourse::coordination::queue::{Entry, Queue, Room, Waiting};
+    /// use tarragoncourse::coordination::queue::{Entry, Kind, Queue, Room, Waiting};
     /// use tarragoncourse::state::id::AttemptId;
     /// use tarragoncourse::state::object::Class;
     /// use tokio::time::Instant;
     ///
     /// let now = Instant::now();
+    /// let kind = Kind { priority: 1, objective: 50 };
     /// let mut queue = Queue::default();
-    /// queue.learn(0, Duration::from_millis(60));
+    /// queue.learn(kind, Duration::from_millis(60));
     /// let attempt = Waiting {
     ///     attempt: AttemptId(1),
     ///     class: Class::Order,
-    ///     priority: 1,
+    ///     kind,
     ///     since: now,
     ///     objective: Some(now + Duration::from_millis(50)),
     ///     deadline: now + Duration::from_secs(1),
@@ -144,9 +183,11 @@
     /// assert_eq!(queue.admit(&attempt, open, now), Entry::Enter);
     /// ```
     pub fn admit(&self, attempt: &Waiting, room: Room, now: Instant) -> Entry {
-        let level = attempt.level();
-        let wait = self.wait(attempt.priority, room);
-        let least = Duration::from_secs_f64(self.mean_of(level) * LAST_CHANCE);
+        let level = attempt.kind.level();
+        let mean = self.mean_of(attempt.kind);
+        let wait = self.wait_before(level, attempt.due(), room, now);
+        let wait = wait.div_f64(1.0 - self.kept(attempt.kind, room));
+        let least = mean.mul_f64(LAST_CHANCE);
         if now + wait.max(least) >= attempt.deadline {
             return Entry::Refuse(NotRun::Deadline);
         }
@@ -156,10 +197,9 @@
         let Some(objective) = attempt.objective.filter(|_| !wait.is_zero()) else {
             return Entry::Enter;
         };
-        let mean = Duration::from_secs_f64(self.mean_of(level));
         let done = now + wait + mean;
         let hopeless = match objective > now {
-            true => done > objective,
+            true => now + wait + mean.mul_f64(HEADROOM) > objective,
             false => wait > mean.mul_f64(LATE_PATIENCE) || done > attempt.deadline,
         };
         if hopeless {
@@ -168,22 +208,56 @@
         Entry::Enter
     }
 
-    /// Time until an attempt of a priority that comes now would be handed over.
+    /// Counts an arrival, and whether it was refused.
+    pub fn arrived(&mut self, kind: Kind, refused: bool) {
+        if self.pressure.len() < KINDS_MAX || self.pressure.contains_key(&kind) {
+            let share = f64::from(u8::from(refused));
+            let pressure = self.pressure.entry(kind).or_default();
+            *pressure += (share - *pressure) * PRESSURE_WEIGHT;
+        }
+    }
+
+    /// Counts an attempt that was handed to the target.
+    pub fn started(&mut self, kind: Kind) {
+        *self.running.entry(kind).or_default() += 1;
+    }
+
+    /// Counts an attempt that ended at the target.
+    pub fn ended(&mut self, kind: Kind) {
+        if let Some(running) = self.running.get_mut(&kind) {
+            *running = running.saturating_sub(1);
+            if *running == 0 {
+                self.running.remove(&kind);
+            }
+        }
+    }
+
+    /// Time after which somebody of a kind who is refused now may find room. While an overload
+    /// lasts, those who come back only take the place of others.
+    pub fn room_after(&self, kind: Kind, room: Room) -> Duration {
+        let wait = self.wait(kind.priority, room);
+        match self.pressure.get(&kind) {
+            Some(p) if *p > PRESSURE_LASTING => wait.max(LASTING_WAIT),
+            _ => wait,
+        }
+    }
+
+    /// Time until an attempt of a priority that comes now, with no objective of its own, would be
+    /// handed over.
     pub fn wait(&self, priority: u8, room: Room) -> Duration {
-        let level = usize::from(priority).min(LEVELS - 1);
         if room.is_open() && self.is_empty() {
             return Duration::ZERO;
         }
-        let ahead = self.levels[..=level].iter().enumerate();
-        let work: f64 = ahead
-            .map(|(l, q)| q.len() as f64 * self.mean_of(l))
-            .sum::<f64>();
-        Duration::from_secs_f64((work + self.mean) / f64::from(room.limit.max(1)))
+        let level = usize::from(priority).min(LEVELS - 1);
+        let ahead = self.levels[..=level].iter().flatten();
+        self.time_for(ahead, room)
     }
 
     /// Lets an attempt wait.
     pub fn push(&mut self, attempt: Waiting) {
-        self.levels[attempt.level()].push_back(attempt);
+        let level = &mut self.levels[attempt.kind.level()];
+        let at = level.partition_point(|w| w.due() <= attempt.due());
+        level.insert(at, attempt);
     }
 
     /// Takes out the attempt that runs next, if one may.
@@ -198,7 +272,7 @@
             true => self.oldest(&heads).unwrap_or(urgent),
             false => urgent,
         };
-        self.levels[level].remove(heads[level]?)
+        Some(self.levels[level].remove(heads[level]?))
     }
 
     /// Takes out an attempt.
@@ -211,13 +285,15 @@
     /// Takes out the attempts whose deadline cannot be met any more.
     pub fn expire(&mut self, now: Instant) -> Vec<AttemptId> {
         let mut due = Vec::new();
-        for level in 0..LEVELS {
-            let least = Duration::from_secs_f64(self.mean_of(level) * LAST_CHANCE);
-            let late = |w: &Waiting| w.deadline <= now + least;
-            let queue = &mut self.levels[level];
-            due.extend(queue.iter().filter(|w| late(w)).map(|w| w.attempt));
-            queue.retain(|w| !late(w));
+        let mut levels = std::mem::take(&mut self.levels);
+        for queue in &mut levels {
+            queue.retain(|w| {
+                let late = w.deadline <= now + self.mean_of(w.kind).mul_f64(LAST_CHANCE);
+                due.extend(late.then_some(w.attempt));
+                !late
+            });
         }
+        self.levels = levels;
         due
     }
 
@@ -227,21 +303,52 @@
         all.map(|w| w.attempt).collect()
     }
 
-    fn mean_of(&self, level: usize) -> f64 {
-        match self.means[level] {
-            0.0 => self.mean,
-            mean => mean,
+    fn mean_of(&self, kind: Kind) -> Duration {
+        let mean = self.means.get(&kind).copied();
+        Duration::from_secs_f64(mean.unwrap_or(self.mean))
+    }
+
+    /// Share of the slots that work which goes before a kind keeps, now and while it waits.
+    fn kept(&self, kind: Kind, room: Room) -> f64 {
+        let before = |k: &Kind| (k.level(), k.objective) < (kind.level(), kind.objective);
+        let urgent = self.running.iter().filter(|(k, _)| before(k));
+        let slots: u32 = urgent.map(|(_, n)| n).sum();
+        (f64::from(slots) / f64::from(room.limit.max(1))).min(KEPT_MAX)
+    }
+
+    /// Time until an attempt that is due at some time would be handed over.
+    fn wait_before(&self, level: usize, due: Instant, room: Room, now: Instant) -> Duration {
+        if room.is_open() && self.is_empty() {
+            return Duration::ZERO;
         }
+        let urgent = self.levels[..level].iter().flatten();
+        // Whoever is late gives way to whoever is not.
+        let timely = due > now;
+        let before = move |w: &&Waiting| match timely {
+            true => w.due() <= due && self.is_timely(w, now),
+            false => w.due() <= due || self.is_timely(w, now),
+        };
+        let ahead = self.levels[level].iter().filter(before);
+        self.time_for(urgent.chain(ahead), room)
+    }
+
+    /// Time in which the target takes some attempts, and one more slot falls free.
+    fn time_for<'a>(&self, ahead: impl Iterator<Item = &'a Waiting>, room: Room) -> Duration {
+        let work: Duration = ahead.map(|w| self.mean_of(w.kind)).sum();
+        (work + self.mean()).div_f64(f64::from(room.limit.max(1)))
+    }
+
+    fn is_timely(&self, w: &Waiting, now: Instant) -> bool {
+        let hope = self.mean_of(w.kind).mul_f64(LAST_HOPE);
+        w.objective.is_none_or(|o| now + hope <= o)
     }
 
-    /// The place in a level of the attempt that goes first: the oldest that can still meet its
-    /// objective, or else the oldest.
+    /// The place in a level of the attempt that goes first: the first that can still meet its
+    /// objective, or else the first.
     fn head(&self, level: usize, room: Room, now: Instant) -> Option<usize> {
-        let half = Duration::from_secs_f64(self.mean_of(level) / 2.0);
         let may = |w: &Waiting| room.bulk || w.class != Class::Bulk;
-        let timely = |w: &Waiting| w.objective.is_none_or(|o| now + half <= o);
         let queue = &self.levels[level];
-        let first = queue.iter().position(|w| may(w) && timely(w));
+        let first = queue.iter().position(|w| may(w) && self.is_timely(w, now));
         first.or_else(|| queue.iter().position(may))
     }
 
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -201,20 +201,25 @@
     ceiling.min(BACK_OFF_MAX).mul_f64(rng.f64())
 }
 
-/// When a caller whose request did not run may come back: once the gate that is nearest to it may
-/// have room, spread so that those refused together do not return together, and early enough that
-/// it still has most of its time.
+/// When a caller whose request did not run may come back: once there may be room, spread so that
+/// those refused together do not return together, but while it can still be answered within its
+/// objective, of which `slack` is left beyond the time that an answer takes.
 ///
 /// ```
 /// use std::time::Duration;
 /// use tarragoncourse::coordination::retry::come_back;
 /// let ms = Duration::from_millis;
-/// assert_eq!(come_back(ms(90), ms(900), 0.0), ms(90));
-/// assert_eq!(come_back(ms(900), ms(900), 0.5), ms(300));
+/// assert_eq!(come_back(ms(90), ms(500), 0.0), ms(90));
+/// assert_eq!(come_back(ms(900), ms(120), 0.0), ms(60));
+/// assert_eq!(come_back(ms(900), ms(0), 0.5), ms(1350));
 /// ```
-pub fn come_back(backlog: Duration, left: Duration, spread: f64) -> Duration {
-    let wait = backlog.max(COME_BACK_MIN).mul_f64(1.0 + spread);
-    wait.min(left / 3)
+pub fn come_back(backlog: Duration, slack: Duration, spread: f64) -> Duration {
+    let spread = 1.0 + spread;
+    let wait = backlog.max(COME_BACK_MIN).mul_f64(spread);
+    match slack / 2 {
+        soon if soon >= COME_BACK_MIN => wait.min(soon.mul_f64(spread)),
+        _ => wait,
+    }
 }
 
 /// Whether a request may run more than once, by its route and method (RFC 9110, section 9.2.2).
--- a/src/experiment/picking.rs
+++ b/src/experiment/picking.rs
@@ -15,6 +15,7 @@
 use crate::coordination::gate::{Admission, Gate, Offer, Wake, Wakes};
 use crate::coordination::outcome::Outcome;
 use crate::coordination::pick::{Picker, Sign, Wanted};
+use crate::coordination::queue::Kind;
 use crate::state::id::{AttemptId, Incarnation};
 use crate::state::member::Health;
 use crate::state::object::Class;
@@ -202,7 +203,10 @@
             attempt: AttemptId(id as u128),
             incarnation: Incarnation(1),
             class,
-            priority: class.priority(),
+            kind: Kind {
+                priority: class.priority(),
+                objective: 0,
+            },
             objective: None,
             age: Duration::ZERO,
             deadline: self.now + DEADLINE,
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -114,7 +114,7 @@
         let deadline = Instant::now() + passport.left;
         let ticket = match self.admit_attempt(passport, deadline).await {
             Ok(ticket) => ticket,
-            Err(Outcome::NotRun(reason)) => return self.refuse(reason, passport.priority),
+            Err(Outcome::NotRun(reason)) => return self.refuse(reason, &passport),
             Err(_) => return doubt(Doubt::Repeated, self.gate_load()),
         };
         self.hand_over(ticket, target, request, passport, deadline)
@@ -130,7 +130,7 @@
             attempt: passport.attempt,
             incarnation: passport.incarnation,
             class: passport.class,
-            priority: passport.priority,
+            kind: passport.kind,
             objective: passport.objective.map(|o| Instant::now() + o),
             age: Duration::from_millis(wall_millis().abs_diff(passport.sent)),
             deadline,
@@ -219,7 +219,7 @@
                 if matches!(reason, NotRun::Unreachable | NotRun::Misdirected) {
                     self.target_refused();
                 }
-                self.refuse(reason, passport.priority)
+                self.refuse(reason, &passport)
             }
             Outcome::Unknown(reason) => doubt(reason, self.gate_load()),
             Outcome::Answered => doubt(Doubt::Stray, self.gate_load()),
@@ -251,11 +251,21 @@
     }
 
     /// Refuses an attempt, and tells when there may be room.
-    fn refuse(&self, reason: NotRun, priority: u8) -> Response<Body> {
+    fn refuse(&self, reason: NotRun, passport: &Passport) -> Response<Body> {
         let (load, backlog) = {
             let state = lock(&self.gate);
             let load = state.gate.running() + state.gate.waiting() as u32;
-            (load, state.gate.backlog(priority))
+            log::info!(
+                "refused attempt={} reason={reason} priority={} left_ms={} running={} waiting={} limit={} mean_ms={:.1}",
+                passport.attempt,
+                passport.kind.priority,
+                passport.left.as_millis(),
+                state.gate.running(),
+                state.gate.waiting(),
+                state.gate.limit(),
+                state.gate.mean().as_secs_f64() * 1000.0,
+            );
+            (load, state.gate.backlog(passport.kind))
         };
         refusal(reason, load, backlog)
     }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -19,13 +19,14 @@
 use crate::coordination::gate::Voided;
 use crate::coordination::outcome::{Doubt, NotRun, OUTCOME_HEADER, Outcome};
 use crate::coordination::pick::{Sign, Wanted};
+use crate::coordination::queue::Kind;
 use crate::coordination::retry::{self, Next, Trial, come_back, is_idempotent};
 use crate::coordination::split;
 use crate::protocol::dialect::{Dialect, header_number};
 use crate::protocol::headers::{ATTEMPTS_LEFT, BACKLOG, LOAD, Passport};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::state::id::{AttemptId, Path};
-use crate::state::object::{Class, Limits};
+use crate::state::object::{Class, Limits, Route};
 use crate::state::routing::{Candidate, RouteEntry, RoutingTable, ServiceEntry};
 use crate::transport::client::SendError;
 use crate::transport::http::Endpoint;
@@ -64,13 +65,14 @@
         node.metrics.request(class, outcome, began.elapsed());
         log::info!(
             target: "tarragoncourse::request",
-            "request id={name} route={} version={} status={} outcome={outcome} target={} made={} bounced={} ms={:.1}",
+            "request id={name} route={} version={} status={} outcome={outcome} target={} made={} bounced={} wait_ms={} ms={:.1}",
             route.as_ref().map_or("-", |r| r.path.name()),
             table.version(),
             response.status().as_u16(),
             trace.target.map_or_else(|| "-".to_string(), |t| t.to_string()),
             trace.made,
             trace.bounced,
+            trace.wait.as_millis(),
             began.elapsed().as_secs_f64() * 1000.0,
         );
         if node.is_leaving() {
@@ -99,6 +101,8 @@
     made: u8,
     /// Attempts that a gate refused.
     bounced: u8,
+    /// Time after which the caller was asked to come back.
+    wait: Duration,
 }
 
 /// One request on its way.
@@ -143,6 +147,7 @@
         let (mut parts, body) = request.into_parts();
         let dialect = self.platform.dialect();
         let limit = dialect.limit(&parts.headers);
+        let spent = limit.map_or(Duration::ZERO, |l| route.spent(l));
         let time = limit.map_or(route.route.deadline, |l| l.min(route.route.deadline));
         let taken = self.bodies.take(&parts.headers, body);
         let body = match tokio::time::timeout_at(began + time, taken).await {
@@ -158,7 +163,10 @@
             headers: parts.headers,
             body,
             deadline: began + time,
-            objective: route.route.objective.map(|o| began + o),
+            objective: route
+                .route
+                .objective
+                .map(|o| began + o.saturating_sub(spent)),
             route: route.clone(),
             service: draw_part(route),
         };
@@ -244,8 +252,11 @@
             };
             match self.decide(outcome, trial, &call.service) {
                 Next::Finish => {
-                    let left = call.deadline.saturating_duration_since(Instant::now());
-                    let wait = come_back(backlog.unwrap_or(COME_BACK), left, fastrand::f64());
+                    let slack = call.objective.map_or(Duration::ZERO, |o| {
+                        o.saturating_duration_since(Instant::now()) / 2
+                    });
+                    let wait = come_back(backlog.unwrap_or(COME_BACK), slack, fastrand::f64());
+                    trace.wait = wait;
                     return self.told(outcome, wait);
                 }
                 Next::Retry(wait) => {
@@ -335,7 +346,7 @@
             attempt: AttemptId(fastrand::u128(..)),
             incarnation: target.incarnation,
             class: call.route.route.class,
-            priority: call.route.route.priority,
+            kind: kind(&call.route.route),
             objective: call.objective.map(until),
             left: until(call.deadline),
             sent: wall_millis(),
@@ -465,6 +476,15 @@
     }
 }
 
+/// Whose service times a route's requests share.
+fn kind(route: &Route) -> Kind {
+    let objective = route.objective.map_or(0, |o| o.as_millis());
+    Kind {
+        priority: route.priority,
+        objective: u32::try_from(objective).unwrap_or(u32::MAX),
+    }
+}
+
 /// The service that the next request of a route goes to.
 fn draw_part(route: &RouteEntry) -> Path {
     let parts = &route.route.parts;
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -8,6 +8,7 @@
 
 use super::key::{FleetKey, MAC_BYTES};
 use super::wire::WireError;
+use crate::coordination::queue::Kind;
 use crate::state::id::{AttemptId, Incarnation};
 use crate::state::object::Class;
 
@@ -34,8 +35,8 @@
     pub incarnation: Incarnation,
     /// What kind of work it is.
     pub class: Class,
-    /// Rank; zero is the highest.
-    pub priority: u8,
+    /// Whose service times it shares; gives its priority.
+    pub kind: Kind,
     /// Time left until the latency objective; zero once it has passed.
     pub objective: Option<Duration>,
     /// Time left until the deadline.
@@ -50,7 +51,7 @@
     attempt: [u8; 16],
     incarnation: u64,
     class: u8,
-    priority: u8,
+    kind: (u8, u32),
     objective: Option<u64>,
     left: u64,
     sent: u64,
@@ -62,7 +63,7 @@
             attempt: p.attempt.0.to_le_bytes(),
             incarnation: p.incarnation.0,
             class: p.class as u8,
-            priority: p.priority,
+            kind: (p.kind.priority, p.kind.objective),
             objective: p.objective.map(|o| o.as_millis() as u64),
             left: p.left.as_millis() as u64,
             sent: p.sent,
@@ -79,7 +80,10 @@
             attempt: AttemptId(u128::from_le_bytes(wire.attempt)),
             incarnation: Incarnation(wire.incarnation),
             class: *class.ok_or(WireError::Bounds("class"))?,
-            priority: wire.priority,
+            kind: Kind {
+                priority: wire.kind.0,
+                objective: wire.kind.1,
+            },
             objective: wire.objective.map(Duration::from_millis),
             left: Duration::from_millis(wire.left),
             sent: wire.sent,
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -54,6 +54,8 @@
     /// Requests drawn so far, for routes that are split. Starts at random, so that the nodes of a
     /// fleet do not draw in step.
     turns: Arc<AtomicU64>,
+    /// Longest time that a caller of the route said it waits, in milliseconds.
+    longest: Arc<AtomicU64>,
 }
 
 impl RouteEntry {
@@ -61,6 +63,14 @@
     pub fn turn(&self) -> u64 {
         self.turns.fetch_add(1, Ordering::Relaxed)
     }
+
+    /// Time that a caller has spent before this try, from what it says is left: callers of a route
+    /// start with the same time, and those who come back have less.
+    pub fn spent(&self, left: Duration) -> Duration {
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let longest = self.longest.fetch_max(left, Ordering::Relaxed).max(left);
+        Duration::from_millis(longest - left)
+    }
 }
 
 type HostRoutes = HashMap<String, SmallVec<[Arc<RouteEntry>; 2]>>;
@@ -224,6 +234,7 @@
             path: path.clone(),
             route: route.clone(),
             turns: Arc::new(AtomicU64::new(fastrand::u64(..1 << 20))),
+            longest: Arc::default(),
         });
         let routes = match &route.host {
             Some(h) => self.hosts.entry(h.clone()).or_default(),
--- a/tests/fuzz_gate.rs
+++ b/tests/fuzz_gate.rs
@@ -11,6 +11,7 @@
 use fuzz::{Counts, below, chance};
 use tarragoncourse::coordination::gate::{Admission, Gate, Offer, Voided, Wake, Wakes};
 use tarragoncourse::coordination::outcome::{Doubt, NotRun, Outcome};
+use tarragoncourse::coordination::queue::Kind;
 use tarragoncourse::state::id::{AttemptId, Incarnation};
 use tarragoncourse::state::object::Class;
 use tokio::time::Instant;
@@ -79,7 +80,10 @@
             attempt: sent.attempt,
             incarnation: sent.incarnation,
             class: sent.class,
-            priority: sent.class.priority(),
+            kind: Kind {
+                priority: sent.class.priority(),
+                objective: 0,
+            },
             objective: None,
             age: self.now - sent.sent,
             deadline: sent.deadline,
@@ -235,7 +239,10 @@
         attempt: AttemptId(n),
         incarnation: Incarnation(1),
         class,
-        priority: class.priority(),
+        kind: Kind {
+            priority: class.priority(),
+            objective: 0,
+        },
         objective: None,
         age: Duration::ZERO,
         deadline: now + Duration::from_secs(60),
--- a/tests/test_protocol.rs
+++ b/tests/test_protocol.rs
@@ -12,6 +12,7 @@
 use arbtest::arbitrary::Unstructured;
 use fuzz::{below, chance};
 use tarragoncourse::coordination::members::{Brief, Message};
+use tarragoncourse::coordination::queue::Kind;
 use tarragoncourse::protocol::datagram::{DATAGRAM_MAX, Datagram, Opener, Sealer};
 use tarragoncourse::protocol::frame::{HEADER_BYTES, Lane, REQUEST_MAX};
 use tarragoncourse::protocol::headers::Passport;
@@ -163,7 +164,10 @@
         attempt: AttemptId(77),
         incarnation: Incarnation(5),
         class: Class::Order,
-        priority: 1,
+        kind: Kind {
+            priority: 1,
+            objective: 250,
+        },
         objective: Some(Duration::from_millis(90)),
         left: Duration::from_millis(250),
         sent: 1_796_000_000_000,
