A target that sheds a part keeps its slots; zones by bytes; allowance by request

Ruled out: a floor of half the slots (a target that sheds everything would be fed as before; test_gate's bound stays as it was). Change: the limit follows the cube of the share shed; the retry allowance is earned by requests, not by answers, and a node plans with 0.7 of its part; the picker waits longer in its own zone the more bytes would cross (body and mean answer of the route); what a node has seen of a route outlives versions.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -23,8 +23,8 @@
 pub const MEMORY_MAX: usize = 200_000;
 /// Share of the slots that bulk transfers may hold at once.
 const BULK_SHARE: f64 = 0.5;
-/// Factor on the limit when the target sheds.
-const SHED_FACTOR: f64 = 0.8;
+/// Weight of the newest outcome in the share of attempts that the target sheds.
+const SHED_WEIGHT: f64 = 0.2;
 
 /// An attempt that asks to be run.
 #[derive(Clone, Copy, Debug)]
@@ -114,6 +114,8 @@
     incarnation: Incarnation,
     slots: u32,
     limit: f64,
+    /// Share of recent attempts that the target shed.
+    shed: f64,
     running: u32,
     bulk: u32,
     queue: Queue,
@@ -131,6 +133,7 @@
             incarnation,
             slots,
             limit: f64::from(slots),
+            shed: 0.0,
             running: 0,
             bulk: 0,
             queue: Queue::default(),
@@ -154,7 +157,7 @@
 
     /// The present limit on attempts at the target.
     pub fn limit(&self) -> u32 {
-        (self.limit as u32).max(1)
+        (self.limit.round() as u32).max(1)
     }
 
     /// Mean service time.
@@ -181,7 +184,7 @@
     pub fn set_slots(&mut self, slots: u32) {
         if slots != self.slots {
             self.slots = slots;
-            self.limit = f64::from(slots);
+            self.follow_shedding();
         }
     }
 
@@ -377,17 +380,24 @@
     }
 
     fn learn(&mut self, class: Class, kind: Kind, outcome: Outcome, took: Duration) {
-        if outcome == Outcome::NotRun(NotRun::Shed) {
-            self.counts.shed += 1;
-            self.limit = (self.limit * SHED_FACTOR).max(1.0);
-            return;
-        }
-        if outcome != Outcome::Answered || class == Class::Bulk {
-            return;
+        let shed = match outcome {
+            Outcome::NotRun(NotRun::Shed) => 1.0,
+            Outcome::Answered => 0.0,
+            _ => return,
+        };
+        self.counts.shed += shed as u64;
+        self.shed += (shed - self.shed) * SHED_WEIGHT;
+        self.follow_shedding();
+        if outcome == Outcome::Answered && class != Class::Bulk {
+            self.queue.learn(kind, took);
         }
-        self.queue.learn(kind, took);
-        let grown = self.limit + 1.0 / self.limit;
-        self.limit = grown.min(f64::from(self.slots));
+    }
+
+    /// A target that sheds nearly everything gets next to nothing. One that sheds a part, whatever
+    /// its load, keeps most of its slots: what it sheds takes no time, and the rest it answers.
+    fn follow_shedding(&mut self) {
+        let kept = 1.0 - self.shed.powi(3);
+        self.limit = (f64::from(self.slots) * kept).max(1.0);
     }
 
     fn refuse_waiting(&mut self, attempt: AttemptId, reason: NotRun) -> Wake {
--- a/src/coordination/pick.rs
+++ b/src/coordination/pick.rs
@@ -12,8 +12,9 @@
 use crate::state::member::Health;
 use crate::state::routing::Candidate;
 
-/// Load beyond which other zones are considered: the share of slots in use.
-const ZONE_SPILL: f64 = 0.8;
+/// Load beyond which other zones are considered, as a share of the slots in use, by the bytes that
+/// would cross: the more there are, the longer a request rather waits in its own zone.
+const ZONE_SPILLS: [(u64, f64); 3] = [(16 << 10, 2.0), (2 << 10, 1.6), (0, 1.0)];
 /// Smallest share of its slots that a cold target gets.
 const RAMP_FLOOR: f64 = 0.1;
 /// Failures in a row that eject a target.
@@ -145,7 +146,7 @@
     pub zone: &'a str,
     /// Targets that were tried before.
     pub tried: &'a [SocketAddr],
-    /// Length of the request's body, in bytes.
+    /// Length of the request's body and of the answer, as far as they are known, in bytes.
     pub bytes: u64,
 }
 
@@ -192,7 +193,9 @@
             .collect();
         // With every target out, an ejected one is better than none.
         let pool = if usable.is_empty() { &open } else { &usable };
-        let chosen = self.choose(pool, zone, now)?;
+        let spill = ZONE_SPILLS.iter().find(|(least, _)| wanted.bytes >= *least);
+        let spill = spill.map_or(1.0, |(_, spill)| *spill);
+        let chosen = self.choose(pool, zone, spill, now)?;
         let stat = self.stats.get_mut(&chosen.peer).expect("synced above");
         stat.in_flight += 1;
         stat.used = now;
@@ -263,12 +266,13 @@
         &mut self,
         pool: &[&'a Candidate],
         zone: &str,
+        spill: f64,
         now: Instant,
     ) -> Option<&'a Candidate> {
         let near: SmallVec<[&Candidate; 16]> =
             pool.iter().filter(|c| &*c.zone == zone).copied().collect();
         if let Some(best) = self.better_of_two(&near, now)
-            && self.score(best, now) < ZONE_SPILL
+            && self.score(best, now) < spill
         {
             return Some(best);
         }
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -9,13 +9,13 @@
 use crate::state::id::Path;
 use crate::state::object::Idempotency;
 
-/// Retries earned by each request that was answered, by default.
-const EARNED_PER_ANSWER: f64 = 0.1;
+/// Retries earned by each request, by default.
+const EARNED_PER_REQUEST: f64 = 0.1;
 /// Retries that a quiet node may make at once, by default.
 const BUDGET_MAX: f64 = 20.0;
 /// Share of the fleet's allowance that nodes plan with: calls that a repeated run makes count too,
 /// and windows slide.
-const ALLOWANCE_SHARE: f64 = 0.5;
+const ALLOWANCE_SHARE: f64 = 0.7;
 /// Gates tried that refused without handing the request to their target.
 const BOUNCES_MAX: u8 = 3;
 /// Shortest time after which a refused caller is asked to come back.
@@ -25,7 +25,7 @@
 /// Longest back-off between attempts.
 const BACK_OFF_MAX: Duration = Duration::from_millis(250);
 
-/// Bounds retries to a share of recent answers, so that retries cannot multiply an overload.
+/// Bounds retries to a share of recent requests, so that retries cannot multiply an overload.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     tokens: f64,
@@ -35,7 +35,7 @@
 /// How many retries a budget grants.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
-    /// Retries earned by each answered request.
+    /// Retries earned by each request.
     pub earned: f64,
     /// Most retries at once.
     pub most: f64,
@@ -44,7 +44,7 @@
 impl Default for Allowance {
     fn default() -> Self {
         Allowance {
-            earned: EARNED_PER_ANSWER,
+            earned: EARNED_PER_REQUEST,
             most: BUDGET_MAX,
         }
     }
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Counts an answered request.
+    /// Counts a request.
     pub fn earn(&mut self) {
         let Allowance { earned, most } = self.allowance;
         self.tokens = (self.tokens + earned).min(most);
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use gotham::helpers::http::Body;
+use http_body::Body as _;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use smallvec::SmallVec;
@@ -218,6 +219,7 @@
         let allowed = header_number(&call.headers, ATTEMPTS_LEFT).unwrap_or(u64::MAX);
         let allowed = allowed.clamp(1, route.route.attempts.into()) as u8;
         strip(&mut call.headers);
+        lock(&self.retries).of(&call.service).earn();
         let mut tried: SmallVec<[SocketAddr; 4]> = SmallVec::new();
         let mut backlog: Option<Duration> = None;
         let mut last = None;
@@ -228,7 +230,8 @@
                 Ended::Answer(response) => {
                     trace.made += 1;
                     trace.target = tried.last().copied();
-                    lock(&self.retries).of(&call.service).earn();
+                    call.route
+                        .answered(response.body().size_hint().exact().unwrap_or(0));
                     return (response, Outcome::Answered);
                 }
                 Ended::Short(outcome, wait) => {
@@ -317,7 +320,7 @@
         let wanted = Wanted {
             zone: &self.settings.zone,
             tried,
-            bytes: call.body.length(),
+            bytes: call.body.length() + call.route.answer_bytes(),
         };
         let mut picked = picker.pick(candidates, wanted, now);
         if picked.is_none() && again {
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -51,25 +51,63 @@
     pub path: Path,
     /// The route.
     pub route: Route,
+    /// What the node has seen of the route; outlives versions of the configuration.
+    seen: Arc<RouteSeen>,
+}
+
+/// What a node has seen of the requests of one route.
+#[derive(Debug)]
+struct RouteSeen {
     /// Requests drawn so far, for routes that are split. Starts at random, so that the nodes of a
     /// fleet do not draw in step.
-    turns: Arc<AtomicU64>,
-    /// Longest time that a caller of the route said it waits, in milliseconds.
-    longest: Arc<AtomicU64>,
+    turns: AtomicU64,
+    /// Longest time that a caller said it waits, in milliseconds.
+    longest: AtomicU64,
+    /// Mean length of the answers, in bytes.
+    answer: AtomicU64,
 }
 
+impl Default for RouteSeen {
+    fn default() -> Self {
+        RouteSeen {
+            turns: AtomicU64::new(fastrand::u64(..1 << 20)),
+            longest: AtomicU64::new(0),
+            answer: AtomicU64::new(0),
+        }
+    }
+}
+
+/// Part of the newest answer in the mean length: one in so many.
+const ANSWER_SAMPLES: u64 = 16;
+
 impl RouteEntry {
     /// Number of the next request, for drawing its part.
     pub fn turn(&self) -> u64 {
-        self.turns.fetch_add(1, Ordering::Relaxed)
+        self.seen.turns.fetch_add(1, Ordering::Relaxed)
     }
 
     /// Time that a caller has spent before this try, from what it says is left: callers of a route
     /// start with the same time, and those who come back have less.
     pub fn spent(&self, left: Duration) -> Duration {
         let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        let longest = self.longest.fetch_max(left, Ordering::Relaxed).max(left);
-        Duration::from_millis(longest - left)
+        let longest = self.seen.longest.fetch_max(left, Ordering::Relaxed);
+        Duration::from_millis(longest.max(left) - left)
+    }
+
+    /// Takes in the length of an answer, in bytes.
+    pub fn answered(&self, bytes: u64) {
+        let mean = self.seen.answer.load(Ordering::Relaxed);
+        let next = match mean {
+            0 => bytes,
+            _ => (mean * (ANSWER_SAMPLES - 1) + bytes) / ANSWER_SAMPLES,
+        };
+        // Two answers at once may count as one; the mean only guides where requests go.
+        self.seen.answer.store(next, Ordering::Relaxed);
+    }
+
+    /// Mean length of the route's answers, in bytes; zero before the first.
+    pub fn answer_bytes(&self) -> u64 {
+        self.seen.answer.load(Ordering::Relaxed)
     }
 }
 
@@ -82,6 +120,7 @@
     any: HostRoutes,
     targets: HashMap<String, TargetSettings>,
     limits: Limits,
+    seen: HashMap<Path, Arc<RouteSeen>>,
 }
 
 /// Routes, services and targets that were joined together.
@@ -105,7 +144,10 @@
         let mut services = HashMap::new();
         for e in config.entries() {
             match &*e.object {
-                Object::Route(r) => index.add(&e.path, r),
+                Object::Route(r) => {
+                    let seen = self.index.seen.get(&e.path).cloned();
+                    index.add(&e.path, r, seen.unwrap_or_default());
+                }
                 Object::Target(t) => {
                     index.targets.insert(e.path.name().to_string(), t.clone());
                 }
@@ -229,12 +271,12 @@
 }
 
 impl RouteIndex {
-    fn add(&mut self, path: &Path, route: &Route) {
+    fn add(&mut self, path: &Path, route: &Route, seen: Arc<RouteSeen>) {
+        self.seen.insert(path.clone(), seen.clone());
         let entry = Arc::new(RouteEntry {
             path: path.clone(),
             route: route.clone(),
-            turns: Arc::new(AtomicU64::new(fastrand::u64(..1 << 20))),
-            longest: Arc::default(),
+            seen,
         });
         let routes = match &route.host {
             Some(h) => self.hosts.entry(h.clone()).or_default(),
