--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -240,7 +240,7 @@
         );
     }
 
-    fn refresh_targets(&self) {
+    pub(super) fn refresh_targets(&self) {
         let mut members = lock(&self.members);
         let changed = members.take_changed();
         if changed.is_empty() {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -179,13 +179,15 @@
     /// Returns whether everything ended within the drain time.
     pub async fn stop(mut self) -> bool {
         self.node.leave();
+        let node = self.node.clone();
+        // The platform may be slow; the stop does not wait for it.
+        tokio::spawn(async move { node.release_slot().await });
         tokio::time::sleep(self.node.settings.leave_notice).await;
         let _ = self.node.stop.send(true);
         let mut whole = true;
         while let Some(ended) = self.serving.join_next().await {
             whole &= ended.unwrap_or(false);
         }
-        self.node.release_slot().await;
         self.node.say_gone();
         self.control.shutdown().await;
         whole
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -147,6 +147,7 @@
         if changed {
             self.refresh_gate();
         }
+        self.refresh_targets();
     }
 
     fn publish_health(&self, health: Health) {
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -21,7 +21,7 @@
 /// noticed after it.
 const DOCUMENT_WAIT: Duration = Duration::from_secs(5);
 /// Pause after a change of the document, in which further changes gather.
-const DOCUMENT_PAUSE: Duration = Duration::from_millis(200);
+const DOCUMENT_PAUSE: Duration = Duration::from_millis(700);
 /// Mean pause after a failed call for the document.
 const DOCUMENT_RETRY: Duration = Duration::from_millis(500);
 /// In fleets up to this size every node watches the document itself.
