Large bodies are asked for before they are sent over slow links

Ruled out: processor time (0.0085 cores of 0.1 in use) and the gate's queue. Change: coordination::transfer reckons with the link's rate; a sender asks the gate before it sends a large body over a slow link, waits for its turn or is refused at once. A starting node waits for the first document in one call.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,3 +18,4 @@
 pub mod retry;
 pub mod slots;
 pub mod split;
+pub mod transfer;
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -204,6 +204,7 @@
         replay_body: 64 << 10,
         connections: 10_000,
         leave_notice: Duration::from_millis(500),
+        link_mbit: None,
         workers: None,
         retries: None,
     }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -63,6 +63,8 @@
     /// Time between the announcement of leaving and the closing of the listeners.
     #[serde(default = "notice", deserialize_with = "duration")]
     pub leave_notice: Duration,
+    /// Rate of the instance's link, in megabits a second.
+    pub link_mbit: Option<f64>,
     /// Worker threads; one runs everything on one thread.
     pub workers: Option<usize>,
     /// What the whole fleet may repeat; a plain share of this node's answers if it is left out.
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -23,6 +23,7 @@
 use crate::coordination::queue::Kind;
 use crate::coordination::retry::{self, Next, Trial, come_back, is_idempotent};
 use crate::coordination::split;
+use crate::coordination::transfer::{Grant, LARGE};
 use crate::protocol::dialect::{Dialect, header_number};
 use crate::protocol::headers::{ATTEMPTS_LEFT, BACKLOG, LOAD, Passport};
 use crate::protocol::peer::{PeerReply, PeerRequest};
@@ -38,6 +39,11 @@
 const GRACE: Duration = Duration::from_millis(20);
 /// Time within which a gate answers a void.
 const VOID_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time within which a gate answers for its link.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Rate of the own link from which transfers are not asked for, in megabits a second: the instances
+/// of a fleet are alike, and a body takes less time than the question.
+const FAST_LINK: f64 = 200.0;
 /// Time after which a caller may come back where no gate says better, such as with no target.
 const COME_BACK: Duration = Duration::from_millis(250);
 /// Header with which a caller names a request that it may repeat.
@@ -359,6 +365,16 @@
             let response = self.run_here(passport, request).await;
             return understood(response, || timed(began)).await;
         }
+        if let Some(refused) = self.ask_transfer(call, target).await {
+            return refused;
+        }
+        let passport = Passport {
+            objective: call
+                .objective
+                .map(|o| o.saturating_duration_since(Instant::now())),
+            left: call.deadline.saturating_duration_since(Instant::now()),
+            ..passport
+        };
         passport.write(&self.key, request.headers_mut());
         let exchange = async {
             let response = self.hop.send(target.gate, request).await?;
@@ -384,6 +400,32 @@
         }
     }
 
+    /// Asks whether a large body may be sent over a slow link, and waits for its turn. Returns how
+    /// the attempt ended if it may not.
+    async fn ask_transfer(&self, call: &Call, target: &Candidate) -> Option<(Ended, Sign)> {
+        let bytes = call.body.length();
+        let slow = self.settings.link_mbit.is_some_and(|rate| rate < FAST_LINK);
+        if !slow || bytes < LARGE {
+            return None;
+        }
+        let now = Instant::now();
+        let left = call.objective.map(|o| o.saturating_duration_since(now) / 2);
+        let patience = left.filter(|p| !p.is_zero());
+        let request = PeerRequest::Transfer { bytes, patience };
+        let reply = ask(&self.key, target.peer, &request, TRANSFER_TIMEOUT).await;
+        match reply {
+            Ok((PeerReply::Transfer(Grant::After(wait)), _)) => {
+                tokio::time::sleep(wait).await;
+                None
+            }
+            Ok((PeerReply::Transfer(Grant::Refuse(wait)), _)) => {
+                let outcome = Outcome::NotRun(NotRun::QueueFull);
+                Some((Ended::Short(outcome, Some(wait)), Sign::Abandoned))
+            }
+            _ => Some((Ended::not_run(NotRun::Unreachable), Sign::Failed)),
+        }
+    }
+
     /// Asks the gate to fence an attempt whose answer did not come.
     async fn void(&self, passport: Passport, target: &Candidate, doubt: Doubt) -> Outcome {
         let request = PeerRequest::Void {
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -33,6 +33,8 @@
 const WITNESSES: usize = 16;
 /// Time within which a peer tells what it has heard of.
 const HELD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Wait for the operator's first document.
+const FIRST_WAIT: Duration = Duration::from_secs(2);
 /// Interval between looks at whether the configuration is current.
 const READY_POLL: Duration = Duration::from_millis(10);
 /// Time after which a round starts over when the configuration has not come.
@@ -88,9 +90,17 @@
     /// document yet.
     async fn newest_accepted(self: &Arc<Self>) -> Option<Version> {
         if P::EXTERNAL {
-            let document = self.platform.document().await.ok()??;
-            self.take_document(&document.snapshot);
-            return Some(document.snapshot.version());
+            let found = self.platform.document().await.ok()?;
+            let document = match found {
+                Some(found) => found.snapshot,
+                // The operator's first document is on its way: one waiting call, not many reads.
+                None => {
+                    let watched = self.platform.watch_document(0, FIRST_WAIT).await;
+                    watched.ok()?.document?
+                }
+            };
+            self.take_document(&document);
+            return Some(document.version());
         }
         let found = self.read_head().await.ok()?;
         Some(found.map_or(Version(0), |(head, _)| head.version))
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,7 +1,7 @@
 //! The node: the daemon's tasks around the state machines.
 //!
 //! Shared tables are locked in the order of the fields of [`Node`]: members, distribution, slots,
-//! target, gate, health, picker, retries, sender, fetches. A lock is never held across an await.
+//! target, gate, health, link, picker, retries, sender, fetches. A lock is never held across an await.
 
 mod answers;
 mod api;
@@ -42,6 +42,7 @@
 use crate::coordination::pick::Picker;
 use crate::coordination::retry::RetryBudgets;
 use crate::coordination::slots::Slots;
+use crate::coordination::transfer::Link;
 use crate::node::config::{FleetRetries, NodeSettings};
 use crate::protocol::datagram::Sealer;
 use crate::protocol::key::FleetKey;
@@ -105,6 +106,8 @@
     target: Mutex<Announced>,
     gate: Mutex<gate::GateState>,
     health: Mutex<TargetHealth>,
+    /// This instance's link; none where its rate is not known.
+    link: Mutex<Option<Link>>,
     picker: Mutex<Picker>,
     retries: Mutex<RetryBudgets>,
     fleet_retries: ArcSwapOption<FleetRetries>,
@@ -279,6 +282,7 @@
             target: Mutex::new(Announced::default()),
             gate: Mutex::new(gate::GateState::new(Gate::new(incarnation, slots))),
             health: Mutex::new(TargetHealth::default()),
+            link: Mutex::new(settings.link_mbit.map(|rate| Link::new(rate, now))),
             picker: Mutex::new(Picker::new(rng.fork())),
             retries: Mutex::new(RetryBudgets::default()),
             fleet_retries: ArcSwapOption::from_pointee(settings.retries),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -9,6 +9,7 @@
 
 use super::{Node, lock};
 use crate::coordination::distribution::Pulled;
+use crate::coordination::transfer::Grant;
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::state::id::Version;
 use crate::state::member::Record;
@@ -70,6 +71,10 @@
             PeerRequest::Claim(wishes) => {
                 PeerReply::Claims(self.claims.enter_all(wishes.clone()).await)
             }
+            PeerRequest::Transfer { bytes, patience } => {
+                let grant = self.ask_link(*bytes, *patience);
+                PeerReply::Transfer(grant)
+            }
             PeerRequest::Held => PeerReply::Held(self.version(), lock(&self.distribution).wanted()),
         };
         let sent = tokio::time::timeout(REPLY_TIMEOUT, asked.reply(&reply)).await;
@@ -78,6 +83,17 @@
         }
     }
 
+    fn ask_link(&self, bytes: u64, patience: Option<Duration>) -> Grant {
+        // A gate that takes no work at all need not be sent the body to say so.
+        if lock(&self.gate).gate.closed().is_some() || self.is_leaving() {
+            return Grant::Refuse(Duration::ZERO);
+        }
+        match &mut *lock(&self.link) {
+            Some(link) => link.ask(bytes, patience, Instant::now()),
+            None => Grant::After(Duration::ZERO),
+        }
+    }
+
     fn busy(&self) -> PeerReply {
         let mut others = lock(&self.members).sample(BUSY_HINTS);
         others.extend_from_slice(lock(&self.distribution).sources());
@@ -103,5 +119,6 @@
         PeerRequest::Void { .. } => "void",
         PeerRequest::Claim(_) => "claim",
         PeerRequest::Held => "operator",
+        PeerRequest::Transfer { .. } => "transfer",
     }
 }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -11,6 +11,7 @@
 use crate::coordination::distribution::Pulled;
 use crate::coordination::gate::Voided;
 use crate::coordination::outcome::Outcome;
+use crate::coordination::transfer::Grant;
 use crate::state::id::{AttemptId, Incarnation, Version};
 use crate::state::member::Record;
 
@@ -34,6 +35,13 @@
     Claim(Vec<Wish>),
     /// The versions in force and heard of.
     Held,
+    /// May a large body be sent to the gate?
+    Transfer {
+        /// Length of the body, in bytes.
+        bytes: u64,
+        /// Time within which it should have arrived.
+        patience: Option<Duration>,
+    },
 }
 
 /// What a node answers.
@@ -49,6 +57,8 @@
     Claims(Option<Vec<ClaimVerdict>>),
     /// Answer to a question for the versions in force and heard of.
     Held(Version, Version),
+    /// Answer to a question for a transfer.
+    Transfer(Grant),
 }
 
 /// Most wishes in one claim request.
@@ -61,6 +71,7 @@
     Void(u128, u64, u64),
     Claim(Vec<WireWish>),
     Held,
+    Transfer(u64, Option<u64>),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -84,6 +95,8 @@
     CannotTell,
     Claims(Option<Vec<WireVerdict>>),
     Held(u64, u64),
+    /// Whether it is granted, and a wait in milliseconds.
+    Transfer(bool, u64),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -106,6 +119,9 @@
                 age,
             } => WireRequest::Void(attempt.0, incarnation.0, age.as_millis() as u64),
             PeerRequest::Held => WireRequest::Held,
+            PeerRequest::Transfer { bytes, patience } => {
+                WireRequest::Transfer(*bytes, patience.map(|p| p.as_millis() as u64))
+            }
             PeerRequest::Claim(wishes) => {
                 WireRequest::Claim(wishes.iter().map(WireWish::from).collect())
             }
@@ -127,6 +143,10 @@
                 age: Duration::from_millis(age),
             },
             WireRequest::Held => PeerRequest::Held,
+            WireRequest::Transfer(bytes, patience) => PeerRequest::Transfer {
+                bytes,
+                patience: patience.map(Duration::from_millis),
+            },
             WireRequest::Claim(wishes) if wishes.len() > WISHES_MAX => {
                 return Err(WireError::Bounds("wishes"));
             }
@@ -167,6 +187,12 @@
             }
             PeerReply::Held(held, wanted) => WireReply::Held(held.0, wanted.0),
             PeerReply::Voided(Voided::Fenced) => WireReply::Fenced,
+            PeerReply::Transfer(Grant::After(wait)) => {
+                WireReply::Transfer(true, wait.as_millis() as u64)
+            }
+            PeerReply::Transfer(Grant::Refuse(wait)) => {
+                WireReply::Transfer(false, wait.as_millis() as u64)
+            }
             PeerReply::Voided(Voided::Running) => WireReply::Running,
             PeerReply::Voided(Voided::Ended(outcome)) => WireReply::Ended(outcome.to_string()),
             PeerReply::Voided(Voided::CannotTell) => WireReply::CannotTell,
@@ -195,6 +221,13 @@
             WireReply::Table(wires, version) => PeerReply::Table(convert(wires)?, Version(version)),
             WireReply::Held(held, wanted) => PeerReply::Held(Version(held), Version(wanted)),
             WireReply::Fenced => PeerReply::Voided(Voided::Fenced),
+            WireReply::Transfer(granted, wait) => {
+                let wait = Duration::from_millis(wait);
+                PeerReply::Transfer(match granted {
+                    true => Grant::After(wait),
+                    false => Grant::Refuse(wait),
+                })
+            }
             WireReply::Running => PeerReply::Voided(Voided::Running),
             WireReply::Ended(text) => {
                 let outcome = Outcome::parse(&text).ok_or(WireError::Bounds("outcome"))?;
