Ready with the document; what is late in a lasting overload is told at once

And orders that lookups had passed were held for up to 770 ms of their second, then refused. Ruled out: a health check of the target at start (the report comes within 0.1 s of the start). Change: a node serves with the operator's document, and meets its peers beside that; while an overload lasts, what has missed its objective is refused at the next tick; an idle slow target counts as half full; stops log each step.

--- a/src/coordination/pick.rs
+++ b/src/coordination/pick.rs
@@ -41,6 +41,9 @@
 const REFUSALS_FORGOTTEN: f64 = 0.05;
 /// Time in which a refusal loses half of its weight.
 const REFUSAL_HALF_LIFE: Duration = Duration::from_millis(250);
+/// Load, as a share of the slots, that an idle target is taken to have when answer times are weighed:
+/// a request is better off at a fast target that is half full than at a slow one that is idle.
+const IDLE_COST: f64 = 0.5;
 /// Factor on the load of a target whose node is suspect.
 const SUSPECT_PENALTY: f64 = 4.0;
 
@@ -287,7 +290,8 @@
         let b = (a + 1 + self.rng.usize(..pool.len() - 1)) % pool.len();
         let (a, b) = (pool[a], pool[b]);
         let (slow_a, slow_b) = self.slowness(a, b);
-        if self.score(b, now) * slow_b < self.score(a, now) * slow_a {
+        let cost = |score: f64, slow: f64| (IDLE_COST + score) * slow;
+        if cost(self.score(b, now), slow_b) < cost(self.score(a, now), slow_a) {
             return Some(b);
         }
         Some(a)
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -236,12 +236,17 @@
     /// lasts, those who come back only take the place of others.
     pub fn room_after(&self, kind: Kind, room: Room) -> Duration {
         let wait = self.wait(kind.priority, room);
-        match self.pressure.get(&kind) {
-            Some(p) if *p > PRESSURE_LASTING => wait.max(LASTING_WAIT),
-            _ => wait,
+        match self.is_lasting(kind) {
+            true => wait.max(LASTING_WAIT),
+            false => wait,
         }
     }
 
+    fn is_lasting(&self, kind: Kind) -> bool {
+        let pressure = self.pressure.get(&kind);
+        pressure.is_some_and(|p| *p > PRESSURE_LASTING)
+    }
+
     /// Time until an attempt of a priority that comes now, with no objective of its own, would be
     /// handed over.
     pub fn wait(&self, priority: u8, room: Room) -> Duration {
@@ -298,7 +303,8 @@
     }
 
     /// Takes out the attempts that those ahead of them will keep until it is too late, so that their
-    /// callers hear of it now and not at the deadline.
+    /// callers hear of it now and not at the deadline. While an overload lasts, that holds for all
+    /// that have missed their objective.
     pub fn prune(&mut self, room: Room, now: Instant) -> Vec<AttemptId> {
         let mut hopeless = Vec::new();
         let mut ahead = self.mean();
@@ -306,6 +312,9 @@
         for queue in &self.levels {
             let (timely, late): (Vec<&Waiting>, Vec<&Waiting>) =
                 queue.iter().partition(|w| self.is_timely(w, now));
+            let (lost, late): (Vec<&Waiting>, Vec<&Waiting>) =
+                late.into_iter().partition(|w| self.is_lasting(w.kind));
+            hopeless.extend(lost.iter().map(|w| w.attempt));
             for w in timely.into_iter().chain(late) {
                 let mean = self.mean_of(w.kind);
                 let done = now + ahead.div_f64(slots) + mean.mul_f64(LAST_CHANCE);
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -17,7 +17,7 @@
 /// Time for which lines gather before they are written together.
 const GATHER: Duration = Duration::from_millis(100);
 /// Longest wait for the last lines at the end of the process.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 
 enum Message {
     Line(String),
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -65,16 +65,29 @@
 impl<P: Platform> Node<P> {
     pub(super) async fn join_loop(self: Arc<Self>) {
         sleep_up_to(self.settings.join_jitter).await;
+        // The operator's document itself is as new as any peer's; callers need not wait for peers,
+        // some of which may be gone.
+        if P::EXTERNAL
+            && let Some(accepted) = self.newest_accepted().await
+            && self.version() >= accepted
+        {
+            self.become_ready();
+        }
         let mut round = ROUND_MIN;
         while !self.join_round().await {
             sleep_up_to(round).await;
             round = (round * 2).min(ROUND_MAX);
         }
-        self.ready.store(true, Ordering::Release);
-        log::info!("ready version={}", self.version());
+        self.become_ready();
         self.rejoin_loop().await;
     }
 
+    fn become_ready(&self) {
+        if !self.ready.swap(true, Ordering::AcqRel) {
+            log::info!("ready version={}", self.version());
+        }
+    }
+
     async fn join_round(self: &Arc<Self>) -> bool {
         let slots = self.platform.list(SLOT_PREFIX).await;
         let holders = slots.iter().flatten();
@@ -82,7 +95,10 @@
         let mut known: Vec<SocketAddr> = holders.collect();
         known.extend(&self.settings.peers);
         let peers = self.join_peers(known).await;
-        let head = self.newest_accepted().await;
+        let head = match P::EXTERNAL && self.is_ready() {
+            true => Some(self.version()),
+            false => self.newest_accepted().await,
+        };
         self.wait_current(Found { head, peers }).await
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -187,11 +187,13 @@
         tokio::spawn(async move { node.release_slot().await });
         tokio::time::sleep(self.node.settings.leave_notice).await;
         let _ = self.node.stop.send(true);
+        log::info!("listeners close");
         let mut whole = true;
         while let Some(ended) = self.serving.join_next().await {
             whole &= ended.unwrap_or(false);
         }
         self.node.say_gone();
+        log::info!("stopped whole={whole}");
         self.control.shutdown().await;
         whole
     }
