A stopping node's gate serves the others until shortly before the end

Ruled out: a shorter notice (the platform takes an instance out after two missed readiness checks a second apart, so callers would meet closed listeners). Change: the gate closes 0.4 s before the listeners; until then it serves the other nodes.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -61,6 +61,9 @@
 /// Time for which an unused connection to the target is kept. Targets close idle connections
 /// after some seconds, and a request sent just then would be lost.
 const LOCAL_IDLE: Duration = Duration::from_secs(2);
+/// Time before the closing of the listeners at which the gate closes, so that other nodes have
+/// turned away.
+const GATE_NOTICE: Duration = Duration::from_millis(400);
 /// Peers that are told at once of a node's leaving.
 const FAREWELLS: usize = 16;
 /// Whole configurations or delta runs served at once.
@@ -181,11 +184,16 @@
     /// Stops gracefully: announces leaving, takes no new work, finishes what is in flight.
     /// Returns whether everything ended within the drain time.
     pub async fn stop(mut self) -> bool {
-        self.node.leave();
+        self.node.turn_away();
         let node = self.node.clone();
         // The platform may be slow; the stop does not wait for it.
         tokio::spawn(async move { node.release_slot().await });
-        tokio::time::sleep(self.node.settings.leave_notice).await;
+        // Callers need the notice to turn elsewhere. The target beside this node does not: until
+        // shortly before the end it goes on with the work of the others.
+        let notice = self.node.settings.leave_notice;
+        tokio::time::sleep(notice.saturating_sub(GATE_NOTICE)).await;
+        self.node.leave();
+        tokio::time::sleep(notice.min(GATE_NOTICE)).await;
         let _ = self.node.stop.send(true);
         log::info!("listeners close");
         let mut whole = true;
@@ -351,9 +359,14 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    fn leave(&self) {
+    /// Callers are asked to turn elsewhere.
+    fn turn_away(&self) {
         log::info!("leaving instance={}", self.settings.instance);
         self.leaving.store(true, Ordering::Release);
+    }
+
+    /// The gate takes no more work, and the others are told so.
+    fn leave(&self) {
         let news = {
             let mut members = lock(&self.members);
             members.update(|r| r.health = Health::Leaving);
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -85,7 +85,11 @@
 
     fn ask_link(&self, bytes: u64, patience: Option<Duration>) -> Grant {
         // A gate that takes no work at all need not be sent the body to say so.
-        if lock(&self.gate).gate.closed().is_some() || self.is_leaving() {
+        let shut = {
+            let gate = &lock(&self.gate).gate;
+            gate.closed().is_some() || gate.is_leaving()
+        };
+        if shut {
             return Grant::Refuse(Duration::ZERO);
         }
         match &mut *lock(&self.link) {
