Read the operator's document once at a start; wide links watch first

The joining task and the watching task read the document at once, 430 kB as the store sends it, each with one second for the whole answer: both failed, both tried again, and a round of joining then read it a third time though it was in force. Ruled out: processor time (the fast nodes start as soon), the exchange of tables, the cold start of the targets (they are ready 3 s after the start, and serve before). Change: the watching task alone reads the document and makes the node ready; joining waits for that first read. Watcher slots go to the widest links of a zone (the record of a node carries its link's rate).

--- a/src/coordination/slots.rs
+++ b/src/coordination/slots.rs
@@ -1,9 +1,11 @@
 //! Watcher slots: a fixed few nodes in each availability zone watch the platform's head.
 //!
 //! Slots are leased keys in the platform. Which nodes try for them is decided by rank among the
-//! zone's live members, so the platform's load does not follow the fleet's size. Holding a slot
+//! zone's live members, so the platform's load does not follow the fleet's size. Wide links rank
+//! first: a watcher receives every version whole. Holding a slot
 //! gives no authority; it is also how joining nodes find their first peers.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -117,11 +119,16 @@
     }
 }
 
-/// Place of a node among the live members of its zone, by a hash of the address.
+/// Place of a node among the live members of its zone: by its link, then by a hash of the address.
 fn rank(table: &MemberTable, zone: &str, own: SocketAddr) -> usize {
-    let mark = mark(&own);
+    let place = place(table, &own);
     let peers = table.zone(zone).into_iter().flatten();
-    peers.filter(|p| self::mark(p) < mark).count()
+    peers.filter(|p| self::place(table, p) < place).count()
+}
+
+fn place(table: &MemberTable, peer: &SocketAddr) -> (Reverse<u32>, (u64, SocketAddr)) {
+    let link = table.get(peer).map_or(0, |r| r.link);
+    (Reverse(link), mark(peer))
 }
 
 fn taken(table: &MemberTable, zone: &str) -> usize {
--- a/src/experiment/size.rs
+++ b/src/experiment/size.rs
@@ -101,6 +101,7 @@
         zone: Arc::from(["zone-a", "zone-b", "zone-c"][n % 3]),
         health: Health::Ready,
         watcher: false,
+        link: 0,
         target: Some(Beside {
             report: (0, 0),
             leaving: false,
--- a/src/experiment/spread.rs
+++ b/src/experiment/spread.rs
@@ -350,6 +350,7 @@
         zone: zone_name(n).into(),
         health: Health::Ready,
         watcher: false,
+        link: 0,
         target: None,
     }
 }
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -33,8 +33,6 @@
 const WITNESSES: usize = 16;
 /// Time within which a peer tells what it has heard of.
 const HELD_TIMEOUT: Duration = Duration::from_millis(500);
-/// Wait for the operator's first document.
-const FIRST_WAIT: Duration = Duration::from_secs(2);
 /// Interval between looks at whether the configuration is current.
 const READY_POLL: Duration = Duration::from_millis(10);
 /// Time after which a round starts over when the configuration has not come.
@@ -65,13 +63,10 @@
 impl<P: Platform> Node<P> {
     pub(super) async fn join_loop(self: Arc<Self>) {
         sleep_up_to(self.settings.join_jitter).await;
-        // The operator's document itself is as new as any peer's; callers need not wait for peers,
-        // some of which may be gone.
-        if P::EXTERNAL
-            && let Some(accepted) = self.newest_accepted().await
-            && self.version() >= accepted
-        {
-            self.become_ready();
+        // Peers would send the configuration over the same link as the platform does: one of them
+        // at a time.
+        if P::EXTERNAL {
+            self.first_read.notified().await;
         }
         let mut round = ROUND_MIN;
         while !self.join_round().await {
@@ -82,7 +77,7 @@
         self.rejoin_loop().await;
     }
 
-    fn become_ready(&self) {
+    pub(super) fn become_ready(&self) {
         if !self.ready.swap(true, Ordering::AcqRel) {
             log::info!("ready version={}", self.version());
         }
@@ -95,28 +90,15 @@
         let mut known: Vec<SocketAddr> = holders.collect();
         known.extend(&self.settings.peers);
         let peers = self.join_peers(known).await;
-        let head = match P::EXTERNAL && self.is_ready() {
-            true => Some(self.version()),
-            false => self.newest_accepted().await,
-        };
+        let head = self.newest_accepted().await;
         self.wait_current(Found { head, peers }).await
     }
 
-    /// The newest version in the platform; none if the platform did not answer, or holds no
-    /// document yet.
-    async fn newest_accepted(self: &Arc<Self>) -> Option<Version> {
+    /// The newest version in the platform; none if the platform did not answer.
+    async fn newest_accepted(&self) -> Option<Version> {
+        // A node that read the operator's document is ready with it.
         if P::EXTERNAL {
-            let found = self.platform.document().await.ok()?;
-            let document = match found {
-                Some(found) => found.snapshot,
-                // The operator's first document is on its way: one waiting call, not many reads.
-                None => {
-                    let watched = self.platform.watch_document(0, FIRST_WAIT).await;
-                    watched.ok()?.document?
-                }
-            };
-            self.take_document(&document);
-            return Some(document.version());
+            return self.is_ready().then(|| self.version());
         }
         let found = self.read_head().await.ok()?;
         Some(found.map_or(Version(0), |(head, _)| head.version))
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -29,7 +29,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{Semaphore, oneshot, watch as signal};
+use tokio::sync::{Notify, Semaphore, oneshot, watch as signal};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -128,6 +128,8 @@
     metrics: Metrics,
     ready: AtomicBool,
     leaving: AtomicBool,
+    /// Told when the first read of the operator's document has ended, whatever came of it.
+    first_read: Notify,
     /// Whether the platform did not answer the last call for the configuration.
     cut_off: AtomicBool,
     rollbacks: AtomicU64,
@@ -308,6 +310,7 @@
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            first_read: Notify::new(),
             cut_off: AtomicBool::new(false),
             rollbacks: AtomicU64::new(0),
             stop: signal::Sender::new(false),
@@ -420,6 +423,7 @@
         zone: settings.zone.as_str().into(),
         health: Health::Down,
         watcher: false,
+        link: settings.link_mbit.unwrap_or(0.0) as u32,
         target: beside,
     }
 }
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -11,7 +11,7 @@
 use crate::coordination::slots::{LEASE_TTL, SlotStep};
 use crate::protocol::record::{HEAD_KEY, decode_head, decode_slot, encode_slot, slot_key};
 use crate::state::id::Version;
-use crate::transport::platform::{Platform, PlatformError, Value, Watched};
+use crate::transport::platform::{Platform, PlatformError, PlatformResult, Value, Watched};
 
 /// Interval between decisions about slots.
 const SLOT_POLL: Duration = Duration::from_millis(500);
@@ -141,36 +141,57 @@
                 continue;
             }
             let found = match revision {
-                None => self.platform.document().await.map(|found| Watched {
-                    revision: found.as_ref().map_or(0, |d| d.revision),
-                    document: found.map(|d| d.snapshot),
-                }),
+                None => self.read_document().await,
                 Some(after) => self.platform.watch_document(after, DOCUMENT_WAIT).await,
             };
-            match found {
+            let pause = match found {
                 Ok(watched) => {
                     self.regained_platform();
-                    revision = Some(watched.revision).filter(|r| *r > 0);
-                    if let Some(document) = &watched.document {
-                        self.take_document(document);
-                        // Versions in quick succession come together.
-                        tokio::time::sleep(DOCUMENT_PAUSE).await;
-                    }
-                    if revision.is_none() {
-                        tokio::time::sleep(DOCUMENT_PAUSE).await;
-                    }
+                    revision = Some(watched.revision);
+                    self.take_watched(&watched)
                 }
                 Err(e) => {
-                    self.lost_platform(&e);
+                    // A history that is gone says nothing about the platform's health.
+                    if e != PlatformError::Compacted {
+                        self.lost_platform(&e);
+                    }
                     revision = None;
-                    tokio::time::sleep(DOCUMENT_RETRY.mul_f64(0.5 + fastrand::f64())).await;
+                    DOCUMENT_RETRY.mul_f64(0.5 + fastrand::f64())
                 }
-            }
+            };
+            self.first_read.notify_one();
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn read_document(&self) -> PlatformResult<Watched> {
+        let found = self.platform.document().await?;
+        Ok(Watched {
+            // Before the operator's first document, any change is news.
+            revision: found.as_ref().map_or(0, |d| d.revision),
+            document: found.map(|d| d.snapshot),
+        })
+    }
+
+    /// Takes what the platform itself holds, and returns the pause before the next call. A node
+    /// with the operator's document is as current as any peer: it is ready.
+    fn take_watched(self: &Arc<Self>, watched: &Watched) -> Duration {
+        let Some(document) = &watched.document else {
+            return Duration::ZERO;
+        };
+        self.take_document(document);
+        if self.version() >= document.version() {
+            self.become_ready();
         }
+        // Versions in quick succession come together.
+        DOCUMENT_PAUSE
     }
 
+    /// A node that is not ready needs the document itself, whoever else watches it.
     fn watches_document(&self) -> bool {
-        self.members_alive() <= WATCH_ALL || lock(&self.slots).held(Instant::now()).is_some()
+        !self.is_ready()
+            || self.members_alive() <= WATCH_ALL
+            || lock(&self.slots).held(Instant::now()).is_some()
     }
 
     /// Notes that the platform answers, and says so if it did not before.
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -358,6 +358,7 @@
     zone: String,
     health: u8,
     watcher: bool,
+    link: u32,
     target: Option<WireBeside>,
 }
 
@@ -381,6 +382,7 @@
             zone: r.zone.to_string(),
             health: r.health as u8,
             watcher: r.watcher,
+            link: r.link,
             target: target.map(WireBeside::from),
         }
     }
@@ -399,6 +401,7 @@
             zone: wire.zone.into(),
             health: *health.ok_or(WireError::Bounds("health"))?,
             watcher: wire.watcher,
+            link: wire.link,
             target: wire.target.map(Beside::try_from).transpose()?,
         })
     }
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -76,6 +76,8 @@
     pub health: Health,
     /// Whether the node holds a watcher slot.
     pub watcher: bool,
+    /// Rate of the node's link, in megabits a second; zero where it is not known.
+    pub link: u32,
     /// The target beside the node, if it has one.
     pub target: Option<Beside>,
 }
--- a/tests/fuzz_members.rs
+++ b/tests/fuzz_members.rs
@@ -60,6 +60,7 @@
         zone: ["a", "b"][n % 2].into(),
         health: Health::Ready,
         watcher: false,
+        link: 0,
         target: None,
     }
 }
--- a/tests/test_incarnation.rs
+++ b/tests/test_incarnation.rs
@@ -48,6 +48,7 @@
         zone: ZONES[0].into(),
         health: Health::Ready,
         watcher: false,
+        link: 0,
         target: None,
     };
     let joined = ask(&key, other.peers, &PeerRequest::Join(record), PATIENCE).await;
--- a/tests/test_protocol.rs
+++ b/tests/test_protocol.rs
@@ -44,6 +44,7 @@
         zone: "hamilton".into(),
         health: Health::Ready,
         watcher: n.is_multiple_of(2),
+        link: 100,
         target: Some(Beside {
             instance: format!("cutbook-{n}").into(),
             service: Path::new("guild/services/cutbook").unwrap(),
--- a/tests/test_slots.rs
+++ b/tests/test_slots.rs
@@ -26,6 +26,7 @@
             zone: "a".into(),
             health: Health::Ready,
             watcher: n < watchers,
+            link: 5,
             target: None,
         });
     }
@@ -57,6 +58,29 @@
     );
 }
 
+#[test]
+fn the_nodes_with_the_widest_links_watch() {
+    // A document of some hundred kilobytes takes most of a second over a narrow link.
+    let mut table = table(20, 0);
+    for n in [13, 17] {
+        let narrow = table.get(&address(n)).unwrap();
+        let wide = Record {
+            link: 100,
+            sequence: 1,
+            ..Record::clone(narrow)
+        };
+        table.merge(&wide);
+    }
+    let now = Instant::now();
+    let step = |n: usize| Slots::new(now).step(&table, "a", address(n), now);
+    for n in [13, 17] {
+        assert!(matches!(step(n), SlotStep::Take(_)), "{n}");
+    }
+    let narrow = (0..20).filter(|n| ![13, 17].contains(n));
+    let takers = narrow.filter(|n| step(*n) != SlotStep::Idle).count();
+    assert_eq!(takers, 1, "one spare");
+}
+
 #[test]
 fn a_holder_that_slept_past_its_lease_holds_nothing() {
     let table = table(1, 0);
