Ids on the gate's lines, large bodies stay beside their ingress, an empty settings file is refused

Tests: each_line_on_a_request_bears_the_callers_id, a_large_body_stays_at_its_instance_while_there_is_room, a_file_without_settings_is_refused; not run against the old code (the fields they use are new).

--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -5,8 +5,10 @@
 
 use tarragoncourse::state::id::Version;
 
+use crate::api::Api;
 use crate::config::Config;
-use crate::util::{Api, CliError, CliResult, arguments, block_on, put_all, read_settings, words};
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, block_on, put_all, read_settings, words};
 
 const USAGE: &str = "
 Puts settings from files into force. The change is accepted whole or not at all.
--- a/src/cmd/change.rs
+++ b/src/cmd/change.rs
@@ -3,7 +3,9 @@
 use std::ffi::OsString;
 
 use super::history::row;
-use crate::util::{Api, CliError, CliResult, block_on, connect, table};
+use crate::api::Api;
+use crate::error::{CliError, CliResult};
+use crate::util::{block_on, connect, table};
 
 const USAGE: &str = "
 Shows whether a change was accepted, and as which version.
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -5,7 +5,8 @@
 use tarragoncourse::state::snapshot::Snapshot;
 use tarragoncourse::state::validate::check_whole;
 
-use crate::util::{CliError, CliResult, arguments, put_all, read_settings, words};
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, put_all, read_settings, words};
 
 const USAGE: &str = "
 Checks settings files: fields, units, bounds, paths, and references among them.
--- a/src/cmd/delete.rs
+++ b/src/cmd/delete.rs
@@ -5,8 +5,10 @@
 use tarragoncourse::state::id::Path;
 use tarragoncourse::state::snapshot::Edit;
 
+use crate::api::Api;
 use crate::config::Config;
-use crate::util::{Api, CliError, CliResult, arguments, block_on, words};
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, block_on, words};
 
 const USAGE: &str = "
 Removes the settings at the given paths, all in one change.
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -13,7 +13,8 @@
 use tarragoncourse::state::snapshot::Edit;
 
 use super::load::print;
-use crate::util::{CliError, CliResult, arguments, block_on, words};
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, block_on, words};
 
 const USAGE: &str = "
 Runs a small fleet in this process: three availability zones, the services of two
--- a/src/cmd/diff.rs
+++ b/src/cmd/diff.rs
@@ -5,8 +5,10 @@
 use tarragoncourse::state::settings::show;
 use tarragoncourse::state::snapshot::Entry;
 
+use crate::api::Api;
 use crate::config::Config;
-use crate::util::{Api, CliResult, arguments, block_on, read_settings, words};
+use crate::error::CliResult;
+use crate::util::{arguments, block_on, read_settings, words};
 
 const USAGE: &str = "
 Shows what `tarragon apply` would change: lines with - go, lines with + come.
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -6,8 +6,10 @@
 use tarragoncourse::state::object::Object;
 use tarragoncourse::state::snapshot::Edit;
 
+use crate::api::Api;
 use crate::config::Config;
-use crate::util::{Api, CliError, CliResult, arguments, block_on, one_word};
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, block_on, one_word};
 
 const USAGE: &str = "
 Takes a target out of service: it finishes its work and gets none. The target's
--- a/src/cmd/dump.rs
+++ b/src/cmd/dump.rs
@@ -2,8 +2,10 @@
 
 use std::ffi::OsString;
 
+use crate::api::Api;
 use crate::config::Config;
-use crate::util::{Api, CliError, CliResult, arguments, block_on, words};
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, block_on, words};
 
 const USAGE: &str = "
 Prints the whole state of one node as JSON. Secrets are left out.
--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -7,7 +7,8 @@
     Report, baseline, churn, claims, convergence, faults, latency, picking, size, spread,
 };
 
-use crate::util::{CliError, CliResult, arguments, block_on, one_word, table};
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, block_on, one_word, table};
 
 const USAGE: &str = "
 Measures the system in this process, over real loopback sockets and with stand-ins
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -5,7 +5,9 @@
 use tarragoncourse::protocol::wire::WireEntry;
 use tarragoncourse::state::settings::show;
 
-use crate::util::{Api, CliResult, block_on, connect};
+use crate::api::Api;
+use crate::error::CliResult;
+use crate::util::{block_on, connect};
 
 const USAGE: &str = "
 Prints the settings in force at one node, as YAML that `tarragon apply` takes.
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -4,8 +4,10 @@
 
 use serde_json::Value;
 
+use crate::api::Api;
 use crate::config::Config;
-use crate::util::{Api, CliResult, arguments, block_on, table, words};
+use crate::error::CliResult;
+use crate::util::{arguments, block_on, table, words};
 
 const USAGE: &str = "
 Lists the newest changes, newest first.
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -8,7 +8,8 @@
 use tarragoncourse::load::{LoadPlan, LoadReport, LoadRoute, Told, run as send};
 use tarragoncourse::state::units::{parse_duration, parse_size};
 
-use crate::util::{CliError, CliResult, arguments, block_on, table, words};
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, block_on, table, words};
 
 const USAGE: &str = "
 Sends requests at a steady rate, whatever the answers do (open loop), and checks
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 pub mod get;
 pub mod history;
 pub mod load;
+pub mod soak;
 pub mod status;
 pub mod token;
 pub mod undo;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -5,7 +5,9 @@
 
 use serde_json::Value;
 
-use crate::util::{Api, CliResult, block_on, connect, table};
+use crate::api::Api;
+use crate::error::CliResult;
+use crate::util::{block_on, connect, table};
 
 const USAGE: &str = "
 Shows each node with its state and version, and each service with its targets, as
--- a/src/cmd/token.rs
+++ b/src/cmd/token.rs
@@ -4,7 +4,8 @@
 
 use tarragoncourse::protocol::key::hash_token;
 
-use crate::util::{CliResult, arguments, words};
+use crate::error::CliResult;
+use crate::util::{arguments, words};
 
 const USAGE: &str = "
 Makes a random token and the salted hash that settings hold in its place.
--- a/src/cmd/undo.rs
+++ b/src/cmd/undo.rs
@@ -2,8 +2,10 @@
 
 use std::ffi::OsString;
 
+use crate::api::Api;
 use crate::config::Config;
-use crate::util::{Api, CliError, CliResult, arguments, block_on, one_word};
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, block_on, one_word};
 
 const USAGE: &str = "
 Puts the content of an older version into force, as a new version.
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,7 +4,7 @@
 
 use pico_args::Arguments;
 
-use crate::util::{CliError, CliResult};
+use crate::error::{CliError, CliResult};
 
 /// Which node to talk to, and as whom.
 #[derive(Clone, Debug)]
--- a/src/coordination/pick.rs
+++ b/src/coordination/pick.rs
@@ -12,6 +12,9 @@
 use crate::state::member::Health;
 use crate::state::routing::Candidate;
 
+/// Bytes from which a request goes to the target beside its ingress, while that has room: it has
+/// crossed that instance's link already, and any other's would carry it again.
+const STAY_BYTES: u64 = 16 << 10;
 /// Load beyond which other zones are considered, as a share of the slots in use, by the bytes that
 /// would cross: the more there are, the longer a request rather waits in its own zone.
 const ZONE_SPILLS: [(u64, f64); 3] = [(16 << 10, 2.0), (2 << 10, 1.6), (0, 1.0)];
@@ -147,6 +150,8 @@
 pub struct Wanted<'a> {
     /// Availability zone of the ingress.
     pub zone: &'a str,
+    /// Peer address of the ingress, which may have a target beside it.
+    pub own: Option<SocketAddr>,
     /// Targets that were tried before.
     pub tried: &'a [SocketAddr],
     /// Length of the request's body and of the answer, as far as they are known, in bytes.
@@ -198,7 +203,14 @@
         let pool = if usable.is_empty() { &open } else { &usable };
         let spill = ZONE_SPILLS.iter().find(|(least, _)| wanted.bytes >= *least);
         let spill = spill.map_or(1.0, |(_, spill)| *spill);
-        let chosen = self.choose(pool, zone, spill, now)?;
+        let beside = pool
+            .iter()
+            .find(|c| wanted.bytes >= STAY_BYTES && Some(c.peer) == wanted.own)
+            .filter(|c| self.score(c, now) < 1.0);
+        let chosen = match beside {
+            Some(beside) => beside,
+            None => self.choose(pool, zone, spill, now)?,
+        };
         let stat = self.stats.get_mut(&chosen.peer).expect("synced above");
         stat.in_flight += 1;
         stat.used = now;
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -205,6 +205,7 @@
         connections: 10_000,
         leave_notice: Duration::from_millis(500),
         link_mbit: None,
+        advertised_gate: None,
         workers: None,
         retries: None,
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod logging;
 pub mod node;
 pub mod protocol;
+pub mod soak;
 pub mod standin;
 pub mod state;
 pub mod transport;
--- a/src/load.rs
+++ b/src/load.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::coordination::outcome::{OUTCOME_HEADER, Outcome};
+use crate::protocol::headers::REPLAYED;
 use crate::standin::target::{ID_HEADER, expected_answer};
 use crate::transport::client::HttpClient;
 use crate::transport::http::{full_body, read_body};
@@ -216,7 +217,8 @@
     mix.len() - 1
 }
 
-async fn send(
+/// Sends one request and reads its answer; gives up after `timeout`.
+pub(crate) async fn send(
     client: HttpClient,
     node: SocketAddr,
     route: LoadRoute,
@@ -262,6 +264,9 @@
         Some(Outcome::Unknown(_)) => return Some((Told::Unknown, outcome)),
         _ => {}
     }
+    if response.headers().contains_key(REPLAYED) {
+        return Some((Told::Answered, outcome));
+    }
     let status = response.status();
     let body = read_body(response.into_body(), ANSWER_MAX).await.ok()?;
     if status == StatusCode::GATEWAY_TIMEOUT {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,12 +1,14 @@
 //! The operators' command line.
 
+mod api;
 mod cmd;
 mod config;
+mod error;
 mod util;
 
 use std::process::ExitCode;
 
-use util::{CliError, CliResult};
+use error::{CliError, CliResult};
 
 const USAGE: &str = "
 Writes and reads the settings of a service mesh, and measures it.
@@ -28,6 +30,7 @@
     get         print settings
     history     list the newest changes
     load        send requests and check every answer
+    soak        run the real programs under random faults and check every promise
     status      show nodes and services
     token       make a token and its salted hash
     undo        put an older version's content into force as a new version
@@ -70,6 +73,7 @@
         "get" => cmd::get::run(argv),
         "history" => cmd::history::run(argv),
         "load" => cmd::load::run(argv),
+        "soak" => cmd::soak::run(argv),
         "status" => cmd::status::run(argv),
         "token" => cmd::token::run(argv),
         "undo" => cmd::undo::run(argv),
--- a/src/node/answers.rs
+++ b/src/node/answers.rs
@@ -9,12 +9,10 @@
 use super::Node;
 use crate::coordination::outcome::{Doubt, NotRun, OUTCOME_HEADER, Outcome};
 use crate::protocol::dialect::Dialect;
+use crate::protocol::headers::REPLAYED;
 use crate::transport::http::{empty, full};
 use crate::transport::platform::Platform;
 
-/// Header that marks the stored outcome of an earlier request with the same key.
-const REPLAYED_HEADER: &str = "tarragon-replayed";
-
 /// An answer with the outcome that it tells.
 pub(super) type Told = (Response<Body>, Outcome);
 
@@ -48,7 +46,7 @@
     let mut response = empty(status);
     mark(&mut response, Outcome::Answered);
     let yes = HeaderValue::from_static("true");
-    response.headers_mut().insert(REPLAYED_HEADER, yes);
+    response.headers_mut().insert(REPLAYED, yes);
     (response, Outcome::Answered)
 }
 
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -34,6 +34,9 @@
     pub zone: String,
     /// Where to listen.
     pub listen: Listen,
+    /// Port of the gate as other nodes reach it, where that is not the one it listens on, such as
+    /// behind a port mapping.
+    pub advertised_gate: Option<u16>,
     /// Address of the platform's key-value service.
     pub platform: SocketAddr,
     /// Secret that all nodes of the fleet share.
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -114,7 +114,10 @@
         let deadline = Instant::now() + passport.left;
         let ticket = match self.admit_attempt(passport, deadline).await {
             Ok(ticket) => ticket,
-            Err(Outcome::NotRun(reason)) => return self.refuse(reason, &passport),
+            Err(Outcome::NotRun(reason)) => {
+                let name = self.platform.dialect().name(request.headers());
+                return self.refuse(reason, &passport, name);
+            }
             Err(_) => return doubt(Doubt::Repeated, self.gate_load()),
         };
         self.hand_over(ticket, target, request, passport, deadline)
@@ -181,6 +184,7 @@
         let instance = lock(&self.target).instance().cloned();
         dialect.hand(request.headers_mut(), left, instance.as_deref());
         let echo = dialect.echo(request.headers());
+        let name = dialect.name(request.headers()).to_string();
         // From here on the target may see the request.
         ticket.outcome = Outcome::Unknown(Doubt::TargetBroken);
         let exchange = async {
@@ -208,7 +212,7 @@
             Err(_) => Outcome::Unknown(Doubt::Timeout),
         };
         log::info!(
-            "not answered attempt={} outcome={judged} instance={}",
+            "not answered id={name} attempt={} outcome={judged} instance={}",
             passport.attempt,
             instance.as_deref().unwrap_or("-"),
         );
@@ -219,7 +223,7 @@
                 if matches!(reason, NotRun::Unreachable | NotRun::Misdirected) {
                     self.target_refused();
                 }
-                self.refuse(reason, &passport)
+                self.refuse(reason, &passport, &name)
             }
             Outcome::Unknown(reason) => doubt(reason, self.gate_load()),
             Outcome::Answered => doubt(Doubt::Stray, self.gate_load()),
@@ -251,12 +255,12 @@
     }
 
     /// Refuses an attempt, and tells when there may be room.
-    fn refuse(&self, reason: NotRun, passport: &Passport) -> Response<Body> {
+    fn refuse(&self, reason: NotRun, passport: &Passport, name: &str) -> Response<Body> {
         let (load, backlog) = {
             let state = lock(&self.gate);
             let load = state.gate.running() + state.gate.waiting() as u32;
             log::info!(
-                "refused attempt={} reason={reason} priority={} left_ms={} running={} waiting={} limit={} mean_ms={:.1}",
+                "refused id={name} attempt={} reason={reason} priority={} left_ms={} running={} waiting={} limit={} mean_ms={:.1}",
                 passport.attempt,
                 passport.kind.priority,
                 passport.left.as_millis(),
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -325,6 +325,7 @@
         let candidates = &service.candidates;
         let wanted = Wanted {
             zone: &self.settings.zone,
+            own: Some(self.addresses.peers),
             tried,
             bytes: call.body.length() + call.route.answer_bytes(),
         };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -417,7 +417,7 @@
     });
     Record {
         peer: addresses.peers,
-        gate: addresses.gate.port(),
+        gate: settings.advertised_gate.unwrap_or(addresses.gate.port()),
         incarnation,
         sequence: 0,
         zone: settings.zone.as_str().into(),
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -23,6 +23,9 @@
 /// Attempts that the request may still use, further down a chain of calls too.
 pub const ATTEMPTS_LEFT: &str = "tarragon-attempts-left";
 
+/// Marks the stored answer to a repeated key; it has the status, and no body.
+pub const REPLAYED: &str = "tarragon-replayed";
+
 /// Headers that only nodes set; they are removed from callers' requests and targets' answers.
 pub const INTERNAL: [&str; 3] = [PASSPORT, LOAD, BACKLOG];
 
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -124,6 +124,11 @@
         locked(&self.behaviour).slots
     }
 
+    /// Requests that run now.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::Acquire)
+    }
+
     /// How often each request ran.
     pub fn runs(&self) -> HashMap<String, u32> {
         locked(&self.runs).clone()
--- a/tests/test_check.rs
+++ b/tests/test_check.rs
@@ -31,6 +31,18 @@
     );
 }
 
+#[test]
+fn a_file_without_settings_is_refused() {
+    let w = Workdir::new("check-empty");
+    for (name, content) in [("empty.yaml", ""), ("comment.yaml", "# to be written\n")] {
+        w.write(name, content);
+        let output = w.tarragon(None, &["check", name]);
+        let err = text(&output.stderr);
+        assert_eq!(output.status.code(), Some(3), "{name}: {err}");
+        assert!(err.contains("no settings are in there"), "{name}: {err}");
+    }
+}
+
 #[test]
 fn each_kind_of_bad_settings_has_its_error() {
     let service = "kind: service\npath: guild/services/x\n";
--- a/tests/test_pick.rs
+++ b/tests/test_pick.rs
@@ -51,6 +51,31 @@
     counts
 }
 
+#[test]
+fn a_large_body_stays_at_its_instance_while_there_is_room() {
+    let now = Instant::now();
+    let c = [
+        candidate(1, "a", Health::Ready),
+        candidate(2, "a", Health::Ready),
+        candidate(3, "a", Health::Ready),
+    ];
+    let mut p = picker();
+    let own = c[1].peer;
+    let wanted = |bytes| Wanted {
+        own: Some(own),
+        bytes,
+        ..at("a")
+    };
+    // Nine of ten slots: the tenth would fill the target.
+    for _ in 0..9 {
+        assert_eq!(p.pick(&c, wanted(60_000), now).unwrap().peer, own);
+    }
+    assert_ne!(p.pick(&c, wanted(60_000), now).unwrap().peer, own);
+    let mut p = picker();
+    let small = (0..20).filter(|_| p.pick(&c, wanted(200), now).unwrap().peer == own);
+    assert!(small.count() < 15, "small ones are spread");
+}
+
 #[test]
 fn the_own_zone_goes_first_until_it_is_loaded() {
     let now = Instant::now();
