A fault soak of the real programs

Change: 'tarragon soak' (src/soak, 9 kinds of faults and changes, 10 checks, 5 habits of callers); the setting 'advertised-gate', by which other nodes reach a gate through a proxy or a port mapping; native requests bear X-Request-Id in the log; stored answers to repeated keys count as answers in the load tool. docs/SOAK.md. Now only who ended a node starts it again.

--- /dev/null
+++ b/src/cmd/soak.rs
@@ -0,0 +1,195 @@
+//! Runs the real programs under random faults.
+
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use tarragoncourse::soak::{Plan, Report, run as play};
+use tarragoncourse::state::units::parse_duration;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::{CliError, CliResult};
+use crate::util::{arguments, block_on, words};
+
+const USAGE: &str = "
+Runs nodes, targets and the platform's stand-in on loopback, injects random
+faults from outside, and checks what callers and targets see (docs/SOAK.md).
+Ends with 1 if a promise was broken.
+
+Usage:
+    tarragon soak [options]
+
+Options:
+    --seed N       first seed [default: taken from the clock]
+    --seeds N      runs, with one seed after the other [default: 1]
+    --size N       nodes, each beside a target [default: 6]
+    --time TIME    time in which faults come, for each run [default: 20s]
+    --minutes N    go on with further seeds for so long, instead of --seeds
+    --dir DIR      where settings and logs of broken runs are kept [default: soak]
+    --programs DIR where tarragond and tarragon-standin are [default: beside this one]
+";
+
+struct Args {
+    seed: u64,
+    seeds: u64,
+    size: usize,
+    time: Duration,
+    until: Option<Duration>,
+    dir: PathBuf,
+    programs: PathBuf,
+}
+
+impl Args {
+    fn parse(argv: Vec<OsString>) -> CliResult<Args> {
+        let mut args = arguments(argv, USAGE)?;
+        let time: Option<String> = args.opt_value_from_str("--time")?;
+        let time = parse_duration(time.as_deref().unwrap_or("20s"))
+            .map_err(|e| CliError::Usage(format!("--time: {e}")))?;
+        let minutes: Option<u64> = args.opt_value_from_str("--minutes")?;
+        let programs: Option<PathBuf> = args.opt_value_from_str("--programs")?;
+        let seed: Option<u64> = args.opt_value_from_str("--seed")?;
+        let dir: Option<PathBuf> = args.opt_value_from_str("--dir")?;
+        let parsed = Args {
+            seed: seed.unwrap_or_else(|| fastrand::u64(..1 << 32)),
+            seeds: args.opt_value_from_str("--seeds")?.unwrap_or(1),
+            size: args.opt_value_from_str("--size")?.unwrap_or(6),
+            time,
+            until: minutes.map(|m| Duration::from_secs(60 * m)),
+            dir: dir.unwrap_or_else(|| PathBuf::from("soak")),
+            programs: programs.map_or_else(beside, Ok)?,
+        };
+        if parsed.size == 0 {
+            return Err(CliError::Usage("--size 0: give at least 1".to_string()));
+        }
+        words(args)?;
+        Ok(parsed)
+    }
+
+    fn plan(&self, seed: u64) -> Plan {
+        Plan {
+            seed,
+            size: self.size,
+            time: self.time,
+            programs: self.programs.clone(),
+            dir: self.dir.join(format!("seed-{seed}")),
+        }
+    }
+}
+
+/// The directory of this program.
+fn beside() -> CliResult<PathBuf> {
+    let own = std::env::current_exe()?;
+    Ok(own.parent().unwrap_or(Path::new(".")).to_path_buf())
+}
+
+/// Runs the subcommand.
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let args = Args::parse(argv)?;
+    let began = Instant::now();
+    let mut total = Totals::default();
+    let mut seed = args.seed;
+    loop {
+        let plan = args.plan(seed);
+        let report = block_on(async {
+            tokio::select! {
+                played = play(&plan) => {
+                    played.map_err(|e| CliError::Other(format!("seed {seed}: {e:#}")))
+                }
+                // The processes of the run end with it.
+                stopped = interrupted() => Err(stopped?),
+            }
+        })?;
+        show(&report, &plan, began);
+        total.add(&report);
+        seed += 1;
+        let enough = match args.until {
+            Some(until) => began.elapsed() >= until,
+            None => seed - args.seed >= args.seeds,
+        };
+        if enough {
+            break;
+        }
+    }
+    println!("{total}");
+    match total.broken {
+        0 => Ok(()),
+        broken => Err(CliError::Other(format!("{broken} runs broke a promise"))),
+    }
+}
+
+/// Waits until the user or the system asks for the end.
+async fn interrupted() -> std::io::Result<CliError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(CliError::Other("interrupted".to_string()))
+}
+
+fn show(report: &Report, plan: &Plan, began: Instant) {
+    let state = match report.violations.len() {
+        0 => "kept".to_string(),
+        n => format!("{n} broken"),
+    };
+    let asked: usize = report.told.values().sum();
+    let answered = report.told.get("answered").copied().unwrap_or(0);
+    println!(
+        "seed {} {state}: {asked} requests, {answered} answered, {} changes, {:.0} s so far",
+        plan.seed,
+        report.accepted,
+        began.elapsed().as_secs_f64(),
+    );
+    if report.violations.is_empty() {
+        // The logs of a run that kept every promise tell nothing.
+        let _ = std::fs::remove_dir_all(&plan.dir);
+        return;
+    }
+    for v in &report.violations {
+        println!("  {v}");
+    }
+    println!(
+        "  logs in {}; again: tarragon soak --seed {} --size {} --time {}ms",
+        plan.dir.display(),
+        plan.seed,
+        plan.size,
+        plan.time.as_millis(),
+    );
+}
+
+#[derive(Default)]
+struct Totals {
+    runs: usize,
+    broken: usize,
+    accepted: usize,
+    faults: BTreeMap<&'static str, usize>,
+    told: BTreeMap<&'static str, usize>,
+}
+
+impl Totals {
+    fn add(&mut self, report: &Report) {
+        self.runs += 1;
+        self.broken += usize::from(!report.violations.is_empty());
+        self.accepted += report.accepted;
+        for (name, n) in &report.faults {
+            *self.faults.entry(name).or_default() += n;
+        }
+        for (name, n) in &report.told {
+            *self.told.entry(name).or_default() += n;
+        }
+    }
+}
+
+impl std::fmt::Display for Totals {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(
+            f,
+            "{} runs, {} broken, {} changes accepted",
+            self.runs, self.broken, self.accepted
+        )?;
+        writeln!(f, "requests: {:?}", self.told)?;
+        write!(f, "injected: {:?}", self.faults)
+    }
+}
--- a/src/load.rs
+++ b/src/load.rs
@@ -12,8 +12,9 @@
 use tokio::time::Instant;
 
 use crate::coordination::outcome::{OUTCOME_HEADER, Outcome};
+use crate::protocol::dialect::REQUEST_ID;
 use crate::protocol::headers::REPLAYED;
-use crate::standin::target::{ID_HEADER, expected_answer};
+use crate::standin::target::expected_answer;
 use crate::transport::client::HttpClient;
 use crate::transport::http::{full_body, read_body};
 
@@ -231,7 +232,7 @@
         .method(route.method)
         .uri(path)
         .header("host", route.host)
-        .header(ID_HEADER, &id);
+        .header(REQUEST_ID, &id);
     if route.keyed {
         request = request.header("idempotency-key", &id);
     }
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -11,6 +11,9 @@
 use super::headers::{ATTEMPTS_LEFT, DEADLINE};
 use crate::coordination::outcome::{Doubt, NotRun, OUTCOME_HEADER, Outcome};
 
+/// Header by which callers name their requests.
+pub const REQUEST_ID: &str = "x-request-id";
+
 /// What a target's answer says, by its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Judged {
@@ -62,8 +65,9 @@
         header_number(headers, DEADLINE).map(Duration::from_millis)
     }
 
-    fn name<'a>(&self, _headers: &'a HeaderMap) -> &'a str {
-        "-"
+    fn name<'a>(&self, headers: &'a HeaderMap) -> &'a str {
+        let name = headers.get(REQUEST_ID).and_then(|v| v.to_str().ok());
+        name.unwrap_or("-")
     }
 
     fn stamp(&self, _headers: &mut HeaderMap) {}
--- /dev/null
+++ b/src/soak/schedule.rs
@@ -0,0 +1,212 @@
+//! Which faults come when, decided by a seed.
+
+use std::time::Duration;
+
+use super::proxy::Mode;
+use crate::standin::faults::Faults;
+use crate::standin::target::Behaviour;
+
+/// Mean time between the starts of two faults.
+const FAULT_PERIOD: Duration = Duration::from_millis(900);
+/// Mean time between two changes of the operators.
+const CHANGE_PERIOD: Duration = Duration::from_millis(1500);
+/// Changes of a storm, one right after the other.
+const STORM: usize = 8;
+/// Longest time that a fault lasts.
+const LASTS_MAX: Duration = Duration::from_secs(4);
+/// Time around a planned stop in which another trouble may be the reason for what is seen.
+const NEAR: Duration = Duration::from_secs(8);
+
+/// A link that a proxy stands in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    /// From a node to the platform.
+    Platform,
+    /// From other nodes to a node's gate.
+    Gate,
+    /// From a node to the target beside it.
+    Target,
+}
+
+/// A fault from outside.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// A node is killed and starts again.
+    Kill(usize),
+    /// A node is asked to stop, and starts again.
+    Stop(usize),
+    /// A node is frozen.
+    Pause(usize),
+    /// A node is told to read its settings again.
+    Reload(usize),
+    /// A link misbehaves.
+    Link(usize, Link, Mode),
+    /// The platform's store misbehaves.
+    Store(Faults),
+    /// A target misbehaves.
+    Target(usize, Behaviour),
+}
+
+/// What happens to the fleet.
+#[derive(Clone, Copy, Debug)]
+pub enum Trouble {
+    /// An operator changes the settings.
+    Change,
+    /// Something fails.
+    Fault(Fault),
+}
+
+impl Trouble {
+    /// Name in the report.
+    pub fn name(&self) -> &'static str {
+        let Trouble::Fault(fault) = self else {
+            return "change";
+        };
+        match fault {
+            Fault::Kill(_) => "kill",
+            Fault::Stop(_) => "stop",
+            Fault::Pause(_) => "pause",
+            Fault::Reload(_) => "reload",
+            Fault::Link(_, Link::Platform, _) => "link to the platform",
+            Fault::Link(_, Link::Gate, _) => "link to a gate",
+            Fault::Link(_, Link::Target, _) => "link to a target",
+            Fault::Store(_) => "store",
+            Fault::Target(..) => "target",
+        }
+    }
+}
+
+/// A trouble with its time.
+#[derive(Clone, Debug)]
+pub struct Planned {
+    /// Time from the start.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// What it is.
+    pub trouble: Trouble,
+}
+
+impl Planned {
+    /// Whether it may disturb requests that a node took at a time.
+    pub fn disturbs(&self, node: usize, at: Duration) -> bool {
+        let near = self.at < at + NEAR && at < self.at + self.lasts + NEAR;
+        let touches = match self.trouble {
+            Trouble::Change | Trouble::Fault(Fault::Reload(_) | Fault::Store(_)) => false,
+            Trouble::Fault(Fault::Link(n, Link::Platform, _)) => n == node,
+            // A request may have gone on to any other node.
+            Trouble::Fault(_) => true,
+        };
+        near && touches
+    }
+}
+
+/// Draws a schedule for a fleet of some nodes.
+///
+/// ```
+/// use std::time::Duration;
+/// use tarragoncourse::soak::schedule::draw;
+/// let time = Duration::from_secs(20);
+/// let (a, b) = (draw(7, 4, time), draw(7, 4, time));
+/// assert_eq!(format!("{a:?}"), format!("{b:?}"));
+/// assert!(a.iter().all(|p| p.at + p.lasts <= time));
+/// ```
+pub fn draw(seed: u64, size: usize, time: Duration) -> Vec<Planned> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut planned = Vec::new();
+    let mut at = pause(&mut rng, FAULT_PERIOD);
+    while at < time {
+        let longest = LASTS_MAX.min(time - at).as_secs_f64();
+        planned.push(Planned {
+            at,
+            lasts: Duration::from_secs_f64(rng.f64() * longest),
+            trouble: Trouble::Fault(fault(&mut rng, size)),
+        });
+        at += pause(&mut rng, FAULT_PERIOD);
+    }
+    let mut at = pause(&mut rng, CHANGE_PERIOD);
+    while at < time {
+        let storm = if rng.u8(..8) == 0 { STORM } else { 1 };
+        let change = Planned {
+            at,
+            lasts: Duration::ZERO,
+            trouble: Trouble::Change,
+        };
+        planned.extend(std::iter::repeat_n(change, storm));
+        at += pause(&mut rng, CHANGE_PERIOD);
+    }
+    planned
+}
+
+/// A time between two events that come independently of each other.
+fn pause(rng: &mut fastrand::Rng, mean: Duration) -> Duration {
+    mean.mul_f64(-(1.0 - rng.f64()).ln())
+}
+
+fn fault(rng: &mut fastrand::Rng, size: usize) -> Fault {
+    let node = rng.usize(..size);
+    match rng.u8(..12) {
+        0 => Fault::Kill(node),
+        1 | 2 => Fault::Stop(node),
+        3 => Fault::Pause(node),
+        4 => Fault::Reload(node),
+        5 | 6 => Fault::Link(node, Link::Gate, mode(rng)),
+        7 | 8 => Fault::Link(node, Link::Target, mode(rng)),
+        9 => Fault::Link(node, Link::Platform, mode(rng)),
+        10 => Fault::Store(store(rng)),
+        _ => Fault::Target(node, behaviour(rng)),
+    }
+}
+
+fn mode(rng: &mut fastrand::Rng) -> Mode {
+    match rng.u8(..5) {
+        0 => Mode::Slow(Duration::from_millis(rng.u64(5..200))),
+        1 => Mode::Reset,
+        2 => Mode::Silent,
+        3 => Mode::NoAnswers,
+        _ => Mode::NoRequests,
+    }
+}
+
+fn store(rng: &mut fastrand::Rng) -> Faults {
+    let none = Faults::default();
+    match rng.u8(..5) {
+        0 => Faults { down: true, ..none },
+        1 => Faults {
+            slow_ms: rng.u64(50..1500),
+            ..none
+        },
+        2 => Faults {
+            lose_answers: rng.u32(1..6),
+            ..none
+        },
+        3 => Faults {
+            freeze_leases: true,
+            ..none
+        },
+        _ => Faults {
+            reads_per_second: 2,
+            writes_per_second: 2,
+            ..none
+        },
+    }
+}
+
+fn behaviour(rng: &mut fastrand::Rng) -> Behaviour {
+    let usual = super::fleet::USUAL;
+    match rng.u8(..4) {
+        0 => Behaviour {
+            shed: true,
+            ..usual
+        },
+        1 => Behaviour {
+            service_ms: rng.u64(200..2000),
+            ..usual
+        },
+        2 => Behaviour { cut: true, ..usual },
+        _ => Behaviour {
+            healthy: false,
+            ..usual
+        },
+    }
+}
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -17,13 +17,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::protocol::dialect::REQUEST_ID;
 use crate::protocol::headers::DEADLINE;
 use crate::transport::http::{
     Endpoint, empty, full, json as json_response, query_number, read_body,
 };
 
-/// Header that names a request.
-pub const ID_HEADER: &str = "x-request-id";
 /// Status with which the stand-in sheds.
 pub const SHED_STATUS: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 /// Largest request body, in bytes.
@@ -140,7 +139,7 @@
         if behaviour.shed || behaviour.draining || running.count > behaviour.slots {
             return empty(SHED_STATUS);
         }
-        let id = header(&request, ID_HEADER).unwrap_or_else(|| "none".to_string());
+        let id = header(&request, REQUEST_ID).unwrap_or_else(|| "none".to_string());
         let length = parameter(&request, "bytes").unwrap_or(0) as usize;
         let time = self.service_time(&request, behaviour);
         let left = header(&request, DEADLINE).and_then(|v| v.parse().ok());
@@ -241,7 +240,7 @@
         headers.insert(CONTENT_LENGTH, HeaderValue::from(whole));
     }
     if let Ok(id) = HeaderValue::from_str(id) {
-        headers.insert(ID_HEADER, id);
+        headers.insert(REQUEST_ID, id);
     }
     response
 }
