--- a/src/coordination/members/mod.rs
+++ b/src/coordination/members/mod.rs
@@ -50,7 +50,7 @@
     },
     /// Asks the receiver to probe a third node.
     PingRequest {
-        /// The requester's probe.
+        /// The number of the probe of the node that asks.
         sequence: u32,
         /// Whom to probe.
         target: SocketAddr,
@@ -89,7 +89,7 @@
 
 #[derive(Debug)]
 struct Relay {
-    requester: SocketAddr,
+    origin: SocketAddr,
     sequence: u32,
     sent: Instant,
 }
--- a/src/coordination/members/probe.rs
+++ b/src/coordination/members/probe.rs
@@ -40,7 +40,7 @@
 
     pub(super) fn relay(
         &mut self,
-        requester: SocketAddr,
+        origin: SocketAddr,
         sequence: u32,
         target: SocketAddr,
         now: Instant,
@@ -52,7 +52,7 @@
         self.relays.insert(
             own,
             Relay {
-                requester,
+                origin,
                 sequence,
                 sent,
             },
@@ -75,7 +75,7 @@
             let brief = self.brief();
             let records = Vec::new();
             out.push((
-                relay.requester,
+                relay.origin,
                 Message::Ack {
                     sequence,
                     brief,
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -134,7 +134,7 @@
         let verdicts = self.drive_batch(shard, wishes).await;
         for (at, entered) in batch.into_iter().enumerate() {
             let verdict = verdicts.as_ref().map(|v| v[at]);
-            // A requester that went away needs no verdict.
+            // A caller that went away needs no verdict.
             let _ = entered.reply.send(verdict);
         }
         shard
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -12,7 +12,7 @@
 pub const HEADER_BYTES: usize = 4 + MAC_BYTES;
 /// Largest frame body, in bytes: a whole configuration or member table.
 pub const FRAME_MAX: usize = 32 << 20;
-/// Largest frame body that a requester may send, in bytes.
+/// Largest frame body that a client may send, in bytes.
 pub const REQUEST_MAX: usize = 64 << 10;
 
 /// One direction of a connection.
