--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -1,5 +1,6 @@
 //! The processes of a run, and the targets beside them.
 
+use std::collections::HashMap;
 use std::fs::{File, OpenOptions};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -260,7 +261,7 @@
 
     /// Applies a change of its own by some node.
     pub async fn change(&self, number: usize) -> Option<Accepted> {
-        let path = Accepted::path(number);
+        let path = format!("soak/routes/change-{number}");
         let text = format!(
             "kind: route\npath: {path}\nhost: {HOST}\nprefix: /change-{number}\n\
              service: soak/services/work\ndeadline: 3s\n"
@@ -343,8 +344,8 @@
     }
 
     /// How often each request ran, over all targets.
-    pub fn runs(&self) -> std::collections::HashMap<String, u32> {
-        let mut all = std::collections::HashMap::new();
+    pub fn runs(&self) -> HashMap<String, u32> {
+        let mut all = HashMap::new();
         for node in &self.nodes {
             for (id, count) in node.target.runs() {
                 *all.entry(id).or_default() += count;
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 use callers::Caller;
-use check::{Accepted, Held, Seen, Stopped, Violation, violations};
+use check::{Held, Seen, Stopped, Violation, violations};
 use fleet::Fleet;
 use schedule::{Fault, Planned, Trouble};
 
@@ -183,11 +183,3 @@
     }
     held
 }
-
-/// A change that the operators' API accepted.
-impl Accepted {
-    /// Path of the route that a change of this number puts.
-    pub fn path(number: usize) -> String {
-        format!("soak/routes/change-{number}")
-    }
-}
