Log and count what targets say about themselves in their answers

Change: a dialect reads the two notices of an answer; coordination::notice keeps them by start of the target, so that an answer that was overtaken cannot end a rate. A line when the rate changes or the target says that it leaves; the gauge target_rate; both in the dump. No decision uses them yet.

--- a/src/coordination/announce.rs
+++ b/src/coordination/announce.rs
@@ -9,6 +9,7 @@
 
 use tokio::time::Instant;
 
+use super::notice::TargetStart;
 use crate::state::member::{Health, TargetRecord};
 
 /// After this long without a report, a report with an earlier start time than the last one is
@@ -174,6 +175,12 @@
         self.latest.as_ref().map(|latest| &latest.report.instance)
     }
 
+    /// Instance name and start time of the target, or `None` before the first report.
+    pub fn start(&self) -> Option<TargetStart> {
+        let latest = self.latest.as_ref()?;
+        Some((latest.report.instance.clone(), latest.report.boot))
+    }
+
     /// Number of requests that the target runs concurrently, or `None` before the first report.
     pub fn slots(&self) -> Option<u32> {
         self.latest.as_ref().map(|latest| latest.report.slots)
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod gate;
 pub mod health;
 pub mod members;
+pub mod notice;
 pub mod outcome;
 pub mod pick;
 pub mod queue;
--- a/src/node/dump.rs
+++ b/src/node/dump.rs
@@ -43,6 +43,7 @@
             let distribution = lock(&self.distribution);
             (distribution.counts(), distribution.newest_known())
         };
+        let rate = lock(&self.target_notices).rate();
         let state = lock(&self.gate);
         let gate_counts = state.gate.counts();
         vec![
@@ -64,6 +65,8 @@
             ("gate_running", f64::from(state.gate.running())),
             ("gate_waiting", state.gate.waiting() as f64),
             ("gate_limit", f64::from(state.gate.limit())),
+            // -1 while the target names no rate.
+            ("target_rate", rate.map_or(-1.0, |r| r.per_second())),
             ("gate_handed", gate_counts.started as f64),
             ("gate_refused", gate_counts.refused as f64),
             ("gate_voided", gate_counts.voided as f64),
@@ -155,6 +158,7 @@
     }
 
     fn dump_gate(&self) -> Value {
+        let rate = lock(&self.target_notices).rate();
         let state = lock(&self.gate);
         let counts = state.gate.counts();
         json!({
@@ -164,6 +168,7 @@
             "running": state.gate.running(),
             "waiting": state.gate.waiting(),
             "limit": state.gate.limit(),
+            "target_rate": rate.map(|r| r.per_second()),
             "mean_ms": state.gate.mean_service_time().as_secs_f64() * 1000.0,
             "handed": counts.started,
             "refused": counts.refused,
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -19,6 +19,7 @@
 use super::body::{RESPONSE_BUFFER_MAX_BYTES, buffer_short_response};
 use super::{Node, lock, unix_millis};
 use crate::coordination::gate::{Admission, AdmissionRequest, Gate, GateAction, GateActions};
+use crate::coordination::notice::TargetStart;
 use crate::coordination::outcome::{NotRun, OUTCOME_HEADER, Outcome, UnknownReason};
 use crate::node::config::LocalTarget;
 use crate::protocol::dialect::{Dialect, ResponseKind, remove_attempts_left};
@@ -186,8 +187,9 @@
         strip_hop_headers(request.headers_mut());
         remove_attempts_left(request.headers_mut());
         let time_left = deadline.saturating_duration_since(Instant::now());
-        let instance = lock(&self.announced_target).instance().cloned();
-        dialect.set_target_headers(request.headers_mut(), time_left, instance.as_deref());
+        let sent_to = SentTo::new(self);
+        let instance = sent_to.announced.then_some(&*sent_to.start.0);
+        dialect.set_target_headers(request.headers_mut(), time_left, instance);
         let echo = dialect.echo_header(request.headers());
         let request_id = dialect.request_id(request.headers()).to_string();
         // From here on, the target may receive the request, so the outcome is indeterminate until a
@@ -200,6 +202,9 @@
                 .await;
             let (parts, body) = sent?.into_parts();
             let kind = dialect.classify_response(&parts, echo.as_ref(), self.shed_status(target));
+            if kind.is_from_target() {
+                self.handle_notice(&sent_to, dialect.target_notice(&parts.headers));
+            }
             if kind == ResponseKind::Stray {
                 // The response belongs to another request, and so may all that follow on this
                 // connection.
@@ -224,7 +229,7 @@
         log::info!(
             "not answered id={request_id} attempt={} outcome={outcome} instance={}",
             context.attempt,
-            instance.as_deref().unwrap_or("-"),
+            instance.unwrap_or("-"),
         );
         guard.outcome = outcome;
         drop(guard);
@@ -305,6 +310,25 @@
     }
 }
 
+/// The start of the local target that a request is sent to, and when it is sent.
+pub(super) struct SentTo {
+    pub(super) start: TargetStart,
+    /// Whether the target has announced itself, so that its name is known to it.
+    announced: bool,
+    pub(super) sent_at: Instant,
+}
+
+impl SentTo {
+    fn new<P: Platform>(node: &Node<P>) -> SentTo {
+        let announced = lock(&node.announced_target).start();
+        SentTo {
+            announced: announced.is_some(),
+            start: announced.unwrap_or_else(|| node.settings_start()),
+            sent_at: Instant::now(),
+        }
+    }
+}
+
 /// The body of a target's response. It holds the attempt's slot until it has been streamed, and
 /// fails with a timeout once the deadline has passed.
 struct GuardedBody<P: Platform> {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,7 +11,7 @@
 //! document that the nodes only read.
 //!
 //! To avoid deadlocks, mutexes are locked in the order of the fields of [`Node`]: members,
-//! distribution, watcher_slot, announced_target, gate, target_health, link_schedule, picker,
+//! distribution, watcher_slot, announced_target, target_notices, gate, target_health, link_schedule, picker,
 //! retry_budgets, sender, pending_fetches. A lock is never held across an await.
 
 mod api;
@@ -50,6 +50,7 @@
 use crate::coordination::gate::Gate;
 use crate::coordination::health::TargetHealth;
 use crate::coordination::members::Members;
+use crate::coordination::notice::TargetNotices;
 use crate::coordination::pick::Picker;
 use crate::coordination::retry::RetryBudgets;
 use crate::coordination::transfer::LinkSchedule;
@@ -120,6 +121,8 @@
     watcher_slot: Mutex<WatcherSlot>,
     /// State that the local target has reported; stays empty unless the target is `announced`.
     announced_target: Mutex<AnnouncedTarget>,
+    /// What the local target says about itself in its answers.
+    target_notices: Mutex<TargetNotices>,
     gate: Mutex<gate::GateState>,
     target_health: Mutex<TargetHealth>,
     /// Schedule of large bodies on this instance's network link, or `None` if the link rate is not
@@ -314,6 +317,7 @@
             distribution: Mutex::new(Distribution::new(Arc::new(Snapshot::default()), rng.fork())),
             watcher_slot: Mutex::new(WatcherSlot::new(now)),
             announced_target: Mutex::new(AnnouncedTarget::default()),
+            target_notices: Mutex::new(TargetNotices::default()),
             gate: Mutex::new(gate::GateState::new(Gate::new(incarnation, slots))),
             target_health: Mutex::new(TargetHealth::default()),
             link_schedule: Mutex::new(settings.link_mbit.map(|rate| LinkSchedule::new(rate, now))),
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -8,9 +8,11 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::gate::SentTo;
 use super::{Node, lock};
 use crate::coordination::announce::{TargetReport, UpdateOutcome};
 use crate::coordination::health::{TARGET_PROBE_INTERVAL, TargetProbe};
+use crate::coordination::notice::{NoticeChange, TargetNotice, TargetStart};
 use crate::node::config::LocalTarget;
 use crate::state::member::{Health, TargetRecord};
 use crate::transport::platform::Platform;
@@ -104,6 +106,32 @@
         heard
     }
 
+    /// Processes what an answer of the local target says about the target.
+    pub(super) fn handle_notice(&self, sent_to: &SentTo, notice: TargetNotice) {
+        let now = Instant::now();
+        let (change, rate) = {
+            let mut notices = lock(&self.target_notices);
+            let change = notices.handle_answer(&sent_to.start, notice, sent_to.sent_at, now);
+            (change, notices.rate())
+        };
+        let instance = &sent_to.start.0;
+        match change {
+            NoticeChange::None => {}
+            NoticeChange::Rate => {
+                let rate = rate.map_or("-".to_string(), |r| r.to_string());
+                log::info!("target rate instance={instance} rate={rate}");
+            }
+            NoticeChange::Leaving => {
+                log::info!("target answers that it leaves instance={instance}");
+            }
+        }
+    }
+
+    /// The start of a target that does not announce itself. Its start time is not known.
+    pub(super) fn settings_start(&self) -> TargetStart {
+        (self.settings.instance.as_str().into(), 0)
+    }
+
     /// Records that no connection to the local target could be established, or that another
     /// instance answered at its address. The target counts as down until its next report.
     pub(super) fn mark_target_down(&self) {
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -8,8 +8,12 @@
 use http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{StatusCode, response};
 
-use super::headers::{ATTEMPTS_LEFT_HEADER, DEADLINE_HEADER};
+use super::headers::{
+    ATTEMPTS_LEFT_HEADER, DEADLINE_HEADER, TARGET_LEAVING_HEADER, TARGET_RATE_HEADER,
+};
+use crate::coordination::notice::{RateNotice, TargetNotice};
 use crate::coordination::outcome::{NotRun, OUTCOME_HEADER, Outcome, UnknownReason};
+use crate::state::rate::RequestRate;
 
 /// Header with the caller's identifier of a request.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -25,6 +29,16 @@
     Stray,
 }
 
+impl ResponseKind {
+    /// Whether the response comes from the target that the request was sent to.
+    pub fn is_from_target(self) -> bool {
+        !matches!(
+            self,
+            ResponseKind::Stray | ResponseKind::NotRun(NotRun::Misdirected)
+        )
+    }
+}
+
 /// Reads and writes the headers and statuses between the mesh, its callers and its targets.
 pub trait Dialect: Clone + Send + Sync + 'static {
     /// How long the caller waits for a response, or `None` if the request does not state it.
@@ -58,6 +72,9 @@
         shed_status: Option<u16>,
     ) -> ResponseKind;
 
+    /// What a target's response says about the target.
+    fn target_notice(&self, headers: &HeaderMap) -> TargetNotice;
+
     /// Returns the status, and sets the headers, of the response to a caller whose request no
     /// target answered. `retry_after` is the time after which the caller may retry a request that
     /// did not run.
@@ -113,6 +130,13 @@
         }
     }
 
+    fn target_notice(&self, headers: &HeaderMap) -> TargetNotice {
+        TargetNotice {
+            rate: rate_notice(headers, TARGET_RATE_HEADER),
+            leaving: header_is_set(headers, TARGET_LEAVING_HEADER),
+        }
+    }
+
     fn write_outcome(
         &self,
         outcome: Outcome,
@@ -147,6 +171,28 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+/// Parses a header that names a rate in requests per second.
+pub fn rate_notice(headers: &HeaderMap, name: &str) -> RateNotice {
+    let Some(value) = headers.get(name) else {
+        return RateNotice::Absent;
+    };
+    let rate = value.to_str().ok().and_then(|t| t.trim().parse().ok());
+    match rate.and_then(RequestRate::from_per_second) {
+        Some(rate) => RateNotice::Named(rate),
+        None => {
+            log::warn!("ignored a rate that is not a valid number header={name} value={value:?}");
+            RateNotice::Unreadable
+        }
+    }
+}
+
+/// Whether a header is present with the value `1`.
+pub fn header_is_set(headers: &HeaderMap, name: &str) -> bool {
+    headers
+        .get(name)
+        .is_some_and(|v| v.as_bytes().trim_ascii() == b"1")
+}
+
 /// Removes the header with the number of remaining attempts, which is meant only for nodes.
 pub fn remove_attempts_left(headers: &mut HeaderMap) {
     headers.remove(ATTEMPTS_LEFT_HEADER);
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -25,6 +25,12 @@
 /// of an incoming request allows, so that attempts do not multiply along a chain of calls.
 pub const ATTEMPTS_LEFT_HEADER: &str = "tarragon-attempts-left";
 
+/// Request rate that a target accepts from all nodes together, in requests per second. A target may
+/// set it in its responses.
+pub const TARGET_RATE_HEADER: &str = "tarragon-target-rate";
+/// Present, with the value `1`, in the responses of a target that is leaving.
+pub const TARGET_LEAVING_HEADER: &str = "tarragon-target-leaving";
+
 /// Marks a response that repeats the stored outcome of an earlier request with the same idempotency
 /// key. It has the status of the original response, but no body.
 pub const REPLAYED_HEADER: &str = "tarragon-replayed";
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,6 +7,7 @@
 pub mod id;
 pub mod member;
 pub mod object;
+pub mod rate;
 pub mod routing;
 pub mod settings;
 pub mod snapshot;
