Pace a gate's requests to the rate that its target names

Cause: no node read the rate.

Fix: every request of the fleet to a target passes its gate, so a token bucket there bounds the sum, whichever ingresses know the rate, and refuses at once (rate-limited, not run, with the time until a token) what would miss its objective or deadline. The record publishes only the slots that can be used at the rate, so that ingresses turn to other targets; the wire is unchanged. A gate that starts uses a quarter of its slots until the first answer: it does not know what its target named to the process before it.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -11,9 +11,11 @@
 use tokio::time::Instant;
 
 use super::outcome::{NotRun, Outcome};
+use super::pace::Pacer;
 use super::queue::{Capacity, Queue, QueueDecision, QueuedAttempt, WorkKind};
 use crate::state::id::{AttemptId, Incarnation};
 use crate::state::object::Class;
+use crate::state::rate::RequestRate;
 
 /// Time for which the state of an attempt is kept.
 pub const ATTEMPT_RETENTION: Duration = Duration::from_secs(60);
@@ -29,6 +31,11 @@
 /// Weight of the newest outcome in the moving average of the share of attempts that the target
 /// sheds.
 const SHED_WEIGHT: f64 = 0.2;
+/// Share of the slots that may be used before the target's first answer, after
+/// [`Gate::limit_until_answered`].
+const UNANSWERED_SLOT_SHARE: f64 = 0.25;
+/// One divided by the relative change of the usable slots up to which the published number stays.
+const USABLE_SLOTS_TOLERANCE: u32 = 4;
 
 /// Attempt to be admitted.
 #[derive(Clone, Copy, Debug)]
@@ -125,6 +132,9 @@
     limit: f64,
     /// Moving average of the share of attempts that the target shed.
     shed_rate: f64,
+    /// The target has not answered since [`Gate::limit_until_answered`].
+    unanswered: bool,
+    pacer: Pacer,
     running: u32,
     bulk_running: u32,
     queue: Queue,
@@ -144,6 +154,8 @@
             slots,
             limit: f64::from(slots),
             shed_rate: 0.0,
+            unanswered: false,
+            pacer: Pacer::default(),
             running: 0,
             bulk_running: 0,
             queue: Queue::default(),
@@ -167,7 +179,57 @@
 
     /// Current limit on the number of attempts at the target.
     pub fn limit(&self) -> u32 {
-        (self.limit.round() as u32).max(1)
+        let share = if self.unanswered {
+            UNANSWERED_SLOT_SHARE
+        } else {
+            1.0
+        };
+        ((self.limit * share).round() as u32).max(1)
+    }
+
+    /// Uses only a part of the slots until the target's first answer. A node that starts beside a
+    /// running target does not know which rate the target accepts, nor how many requests of an
+    /// earlier process are still running there; the first answer tells.
+    pub fn limit_until_answered(&mut self) {
+        self.unanswered = true;
+    }
+
+    /// Sets or removes the rate that the target accepts.
+    pub fn set_rate(&mut self, rate: Option<RequestRate>, now: Instant) {
+        self.pacer.set_rate(rate, now);
+    }
+
+    /// The rate that the target accepts, if it names one.
+    pub fn rate(&self) -> Option<RequestRate> {
+        self.pacer.rate()
+    }
+
+    /// Number of slots that the target can use while it names a rate, at which some of them stay
+    /// free; `None` if it names none. `published` is the number published so far, which is kept
+    /// until the difference is clear.
+    pub fn usable_slots(&self, published: Option<u32>) -> Option<u32> {
+        let mean = self.queue.mean_service_time();
+        let rate = self.rate().filter(|_| !mean.is_zero())?;
+        let used = rate.per_second() * mean.as_secs_f64();
+        let usable = (used.ceil() as u32).clamp(1, self.slots.max(1));
+        let tolerated = usable.div_ceil(USABLE_SLOTS_TOLERANCE);
+        Some(match published {
+            Some(before) if before.abs_diff(usable) <= tolerated => before,
+            _ => usable,
+        })
+    }
+
+    /// Time until a queued attempt may be sent, if only the pace delays it; `None` if the queue is
+    /// empty or no slot is free.
+    pub fn pace_delay(&self, now: Instant) -> Option<Duration> {
+        let waits_for_pace = !self.queue.is_empty() && self.running < self.limit();
+        let pace = self.pacer.pace(now).filter(|_| waits_for_pace)?;
+        Some(pace.delay(0))
+    }
+
+    /// Sends the queued attempts that the pace allows by now.
+    pub fn run_due(&mut self, now: Instant) -> GateActions {
+        self.dispatch(now)
     }
 
     /// Mean service time over all kinds of work.
@@ -176,8 +238,8 @@
     }
 
     /// Time after which an attempt of this kind that is refused now may be admitted.
-    pub fn backlog(&self, kind: WorkKind) -> Duration {
-        self.queue.expected_backlog(kind, self.capacity())
+    pub fn backlog(&self, kind: WorkKind, now: Instant) -> Duration {
+        self.queue.expected_backlog(kind, self.capacity(now))
     }
 
     /// Counts of the gate's decisions.
@@ -302,7 +364,7 @@
     /// Refuses queued attempts that can no longer be answered in time.
     pub fn expire(&mut self, now: Instant) -> GateActions {
         let mut actions = self.refuse_expired(now);
-        let too_late = self.queue.remove_too_late(self.capacity(), now);
+        let too_late = self.queue.remove_too_late(self.capacity(now), now);
         actions.extend(self.refuse_all(too_late, NotRun::Deadline));
         actions
     }
@@ -374,15 +436,16 @@
         }
         match self
             .queue
-            .check_admission(&queued_attempt(request, now), self.capacity(), now)
+            .check_admission(&queued_attempt(request, now), self.capacity(now), now)
         {
             QueueDecision::Accept => None,
             QueueDecision::Refuse(reason) => Some(reason),
         }
     }
 
-    fn capacity(&self) -> Capacity {
+    fn capacity(&self, now: Instant) -> Capacity {
         Capacity {
+            pace: self.pacer.pace(now),
             running: self.running,
             limit: self.limit(),
             bulk_allowed: self.bulk_running < self.bulk_limit(),
@@ -395,6 +458,7 @@
 
     fn start_attempt(&mut self, next: &QueuedAttempt, now: Instant) {
         self.running += 1;
+        self.pacer.take(now);
         self.queue.record_start(next.kind);
         self.bulk_running += u32::from(next.class == Class::Bulk);
         self.counts.started += 1;
@@ -408,7 +472,7 @@
 
     fn dispatch(&mut self, now: Instant) -> GateActions {
         let mut actions = self.refuse_expired(now);
-        while let Some(next) = self.queue.pop_next(self.capacity(), now) {
+        while let Some(next) = self.queue.pop_next(self.capacity(now), now) {
             self.start_attempt(&next, now);
             actions.push(GateAction::Run(next.attempt));
         }
@@ -427,6 +491,7 @@
             Outcome::Answered => 0.0,
             _ => return,
         };
+        self.unanswered = false;
         self.counts.shed += shed as u64;
         self.shed_rate += (shed - self.shed_rate) * SHED_WEIGHT;
         self.update_limit();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -14,6 +14,7 @@
 pub mod members;
 pub mod notice;
 pub mod outcome;
+pub mod pace;
 pub mod pick;
 pub mod queue;
 pub mod retry;
--- a/src/coordination/outcome.rs
+++ b/src/coordination/outcome.rs
@@ -18,6 +18,9 @@
     /// The gate's queue is full, or the wait in it would be too long for the latency objective.
     #[display("queue-full")]
     QueueFull,
+    /// The target accepts only a limited rate of requests, and the wait would be too long.
+    #[display("rate-limited")]
+    RateLimited,
     /// The deadline passed in the gate's queue, or the gate expects that it would.
     #[display("deadline")]
     Deadline,
@@ -60,10 +63,11 @@
 }
 
 impl NotRun {
-    const ALL: [NotRun; 16] = [
+    const ALL: [NotRun; 17] = [
         NotRun::Unreachable,
         NotRun::Leaving,
         NotRun::QueueFull,
+        NotRun::RateLimited,
         NotRun::Deadline,
         NotRun::Voided,
         NotRun::Incarnation,
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::outcome::NotRun;
+use super::pace::Pace;
 use crate::state::id::AttemptId;
 use crate::state::object::Class;
 
@@ -102,11 +103,36 @@
     pub limit: u32,
     /// Whether bulk transfers may occupy another slot.
     pub bulk_allowed: bool,
+    /// The pace at which attempts may be sent, if the target names a rate.
+    pub pace: Option<Pace>,
 }
 
 impl Capacity {
     fn is_open(&self) -> bool {
-        self.running < self.limit
+        self.running < self.limit && self.pace.is_none_or(Pace::is_open)
+    }
+
+    /// Time until the pace allows an attempt that has `ahead` others before it.
+    fn pace_delay(&self, ahead: usize) -> Duration {
+        self.pace.map_or(Duration::ZERO, |p| p.delay(ahead))
+    }
+}
+
+/// Expected wait of an attempt.
+#[derive(Clone, Copy, Debug, Default)]
+struct ExpectedWait {
+    time: Duration,
+    /// Whether the target's rate, rather than its slots, determines the time.
+    paced: bool,
+}
+
+impl ExpectedWait {
+    /// Reason for a refusal because of this wait; `unpaced` if the slots determine the wait.
+    fn refusal(self, unpaced: NotRun) -> NotRun {
+        match self.paced {
+            true => NotRun::RateLimited,
+            false => unpaced,
+        }
     }
 }
 
@@ -188,7 +214,7 @@
     ///     objective: Some(now + Duration::from_millis(50)),
     ///     deadline: now + Duration::from_secs(1),
     /// };
-    /// let full = Capacity { running: 1, limit: 1, bulk_allowed: true };
+    /// let full = Capacity { running: 1, limit: 1, bulk_allowed: true, pace: None };
     /// assert_ne!(queue.check_admission(&attempt, full, now), QueueDecision::Accept);
     /// let open = Capacity { running: 0, ..full };
     /// assert_eq!(queue.check_admission(&attempt, open, now), QueueDecision::Accept);
@@ -201,12 +227,16 @@
     ) -> QueueDecision {
         let level = attempt.kind.level();
         let mean = self.mean_for(attempt.kind);
-        let wait = self.wait_until_turn(level, attempt.due(), capacity, now);
-        let wait = wait.div_f64(1.0 - self.reserved_share(attempt.kind, capacity));
+        let expected = self.wait_until_turn(level, attempt.due(), capacity, now);
+        let reserved_share = self.reserved_share(attempt.kind, capacity);
+        let wait = expected.time.div_f64(1.0 - reserved_share);
         let min_time = mean.mul_f64(DEADLINE_MARGIN);
-        if now + wait.max(min_time) >= attempt.deadline {
+        if now + min_time >= attempt.deadline {
             return QueueDecision::Refuse(NotRun::Deadline);
         }
+        if now + wait >= attempt.deadline {
+            return QueueDecision::Refuse(expected.refusal(NotRun::Deadline));
+        }
         if self.levels[level].len() >= capacity.limit.max(1) as usize * QUEUED_PER_SLOT_MAX {
             return QueueDecision::Refuse(NotRun::QueueFull);
         }
@@ -219,7 +249,7 @@
         let max_wait = time_left.saturating_sub(mean.mul_f64(WAIT_HEADROOM));
         let max_wait = max_wait.max(mean.mul_f64(LATE_WAIT_MAX));
         if wait > max_wait || now + wait + mean > attempt.deadline {
-            return QueueDecision::Refuse(NotRun::QueueFull);
+            return QueueDecision::Refuse(expected.refusal(NotRun::QueueFull));
         }
         QueueDecision::Accept
     }
@@ -271,7 +301,7 @@
         }
         let level = usize::from(priority).min(PRIORITY_LEVELS - 1);
         let ahead = self.levels[..=level].iter().flatten();
-        self.time_to_drain(ahead, capacity)
+        self.time_to_drain(ahead, capacity).time
     }
 
     /// Queues an attempt.
@@ -326,6 +356,7 @@
     pub fn remove_too_late(&mut self, capacity: Capacity, now: Instant) -> Vec<AttemptId> {
         let mut too_late = Vec::new();
         let mut work_ahead = self.mean_service_time();
+        let mut count_ahead = 0;
         let slots = f64::from(capacity.limit.max(1));
         for queue in &self.levels {
             let (timely, late): (Vec<&QueuedAttempt>, Vec<&QueuedAttempt>) =
@@ -336,11 +367,16 @@
             too_late.extend(overloaded.iter().map(|a| a.attempt));
             for a in timely.into_iter().chain(late) {
                 let mean = self.mean_for(a.kind);
-                let done_at = now + work_ahead.div_f64(slots) + mean.mul_f64(DEADLINE_MARGIN);
-                match done_at > a.deadline {
-                    true => too_late.push(a.attempt),
-                    false => work_ahead += mean,
+                let start_delay = work_ahead
+                    .div_f64(slots)
+                    .max(capacity.pace_delay(count_ahead));
+                let done_at = now + start_delay + mean.mul_f64(DEADLINE_MARGIN);
+                if done_at > a.deadline {
+                    too_late.push(a.attempt);
+                    continue;
                 }
+                work_ahead += mean;
+                count_ahead += 1;
             }
         }
         for queue in &mut self.levels {
@@ -376,9 +412,9 @@
         due: Instant,
         capacity: Capacity,
         now: Instant,
-    ) -> Duration {
+    ) -> ExpectedWait {
         if capacity.is_open() && self.is_empty() {
-            return Duration::ZERO;
+            return ExpectedWait::default();
         }
         let urgent = self.levels[..level].iter().flatten();
         // Attempts past their objective run after those that can still meet theirs.
@@ -391,14 +427,29 @@
         self.time_to_drain(urgent.chain(ahead), capacity)
     }
 
-    /// Expected time until the target has run the given attempts and one more slot becomes free.
+    /// Expected time until the given attempts have been sent, a slot is free, and the pace allows
+    /// one more attempt.
     fn time_to_drain<'a>(
         &self,
         ahead: impl Iterator<Item = &'a QueuedAttempt>,
         capacity: Capacity,
-    ) -> Duration {
-        let work: Duration = ahead.map(|a| self.mean_for(a.kind)).sum();
-        (work + self.mean_service_time()).div_f64(f64::from(capacity.limit.max(1)))
+    ) -> ExpectedWait {
+        let (mut work, mut count) = (self.mean_service_time(), 0);
+        for a in ahead {
+            work += self.mean_for(a.kind);
+            count += 1;
+        }
+        // While a rate is named, attempts may wait although slots are free.
+        let slot_is_free = capacity.pace.is_some() && capacity.running < capacity.limit;
+        let slot_time = match slot_is_free && count == 0 {
+            true => Duration::ZERO,
+            false => work.div_f64(f64::from(capacity.limit.max(1))),
+        };
+        let pace_time = capacity.pace_delay(count);
+        ExpectedWait {
+            time: slot_time.max(pace_time),
+            paced: pace_time > slot_time,
+        }
     }
 
     fn can_meet_objective(&self, a: &QueuedAttempt, now: Instant) -> bool {
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -25,6 +25,7 @@
 use crate::protocol::dialect::{Dialect, ResponseKind, remove_attempts_left};
 use crate::protocol::headers::{AttemptContext, BACKLOG_HEADER, INTERNAL_HEADERS, LOAD_HEADER};
 use crate::state::id::AttemptId;
+use crate::state::rate::RequestRate;
 use crate::transport::client::SendError;
 use crate::transport::http::{Endpoint, empty_response};
 use crate::transport::platform::Platform;
@@ -102,6 +103,8 @@
         state.gate.abandon(self.attempt);
         let actions = state.gate.finish(self.attempt, self.outcome, now);
         state.notify_waiters(actions);
+        drop(state);
+        self.node.pace_wake.notify_one();
     }
 }
 
@@ -128,6 +131,21 @@
             .await
     }
 
+    /// Sends queued attempts to a target that names a rate, when the rate allows.
+    pub(super) async fn pace_loop(self: Arc<Self>) {
+        loop {
+            let delay = lock(&self.gate).gate.pace_delay(Instant::now());
+            let Some(delay) = delay else {
+                self.pace_wake.notified().await;
+                continue;
+            };
+            tokio::time::sleep(delay).await;
+            let mut state = lock(&self.gate);
+            let actions = state.gate.run_due(Instant::now());
+            state.notify_waiters(actions);
+        }
+    }
+
     /// Submits an attempt to the gate, and waits until it may run or is refused.
     async fn admit_attempt(
         self: &Arc<Self>,
@@ -154,6 +172,7 @@
                 Admission::Wait => {
                     let (send, decision) = oneshot::channel();
                     state.waiters.insert(request.attempt, send);
+                    self.pace_wake.notify_one();
                     Some(decision)
                 }
             };
@@ -282,16 +301,17 @@
             let state = lock(&self.gate);
             let load = state.gate.running() + state.gate.waiting() as u32;
             log::info!(
-                "refused id={request_id} attempt={} reason={reason} priority={} left_ms={} running={} waiting={} limit={} mean_ms={:.1}",
+                "refused id={request_id} attempt={} reason={reason} priority={} left_ms={} running={} waiting={} limit={} rate={} mean_ms={:.1}",
                 context.attempt,
                 context.work_kind.priority,
                 context.time_left.as_millis(),
                 state.gate.running(),
                 state.gate.waiting(),
                 state.gate.limit(),
+                rate_text(state.gate.rate()),
                 state.gate.mean_service_time().as_secs_f64() * 1000.0,
             );
-            (load, state.gate.backlog(context.work_kind))
+            (load, state.gate.backlog(context.work_kind, Instant::now()))
         };
         refusal_response(reason, load, backlog)
     }
@@ -360,6 +380,11 @@
     }
 }
 
+/// Formats a rate for a log line; `-` if there is none.
+pub(super) fn rate_text(rate: Option<RequestRate>) -> String {
+    rate.map_or_else(|| "-".to_string(), |r| r.to_string())
+}
+
 /// Removes hop-by-hop headers, and headers that nodes use among themselves.
 pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -124,6 +124,8 @@
     /// What the local target says about itself in its answers.
     target_notices: Mutex<TargetNotices>,
     gate: Mutex<gate::GateState>,
+    /// Notified when an attempt was queued or has ended at the gate.
+    pace_wake: Notify,
     target_health: Mutex<TargetHealth>,
     /// Schedule of large bodies on this instance's network link, or `None` if the link rate is not
     /// configured.
@@ -286,6 +288,7 @@
         self.control.spawn(node.clone().slot_loop());
         self.control.spawn(node.clone().watch_loop());
         self.control.spawn(node.clone().target_loop());
+        self.control.spawn(node.clone().pace_loop());
         self.control.spawn(node.clone().claim_loop(claim_receiver));
     }
 }
@@ -303,6 +306,8 @@
         let mut rng = fastrand::Rng::new();
         let own = own_record(&settings, addresses, incarnation);
         let slots = settings.target.as_ref().map_or(1, |t| t.slots);
+        let mut initial_gate = Gate::new(incarnation, slots);
+        initial_gate.limit_until_answered();
         let (claim_queue, claim_receiver) = ClaimQueue::new();
         let sender = DatagramSender {
             sealer: DatagramSealer::new(fleet_key.clone(), addresses.peers, incarnation),
@@ -318,7 +323,8 @@
             watcher_slot: Mutex::new(WatcherSlot::new(now)),
             announced_target: Mutex::new(AnnouncedTarget::default()),
             target_notices: Mutex::new(TargetNotices::default()),
-            gate: Mutex::new(gate::GateState::new(Gate::new(incarnation, slots))),
+            gate: Mutex::new(gate::GateState::new(initial_gate)),
+            pace_wake: Notify::new(),
             target_health: Mutex::new(TargetHealth::default()),
             link_schedule: Mutex::new(settings.link_mbit.map(|rate| LinkSchedule::new(rate, now))),
             picker: Mutex::new(Picker::new(rng.fork())),
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::gate::SentTo;
+use super::gate::{SentTo, rate_text};
 use super::{Node, lock};
 use crate::coordination::announce::{TargetReport, UpdateOutcome};
 use crate::coordination::health::{TARGET_PROBE_INTERVAL, TargetProbe};
@@ -114,11 +114,12 @@
             let change = notices.handle_answer(&sent_to.start, notice, sent_to.sent_at, now);
             (change, notices.rate())
         };
+        lock(&self.gate).gate.set_rate(rate, now);
         let instance = &sent_to.start.0;
         match change {
             NoticeChange::None => {}
             NoticeChange::Rate => {
-                let rate = rate.map_or("-".to_string(), |r| r.to_string());
+                let rate = rate_text(rate);
                 log::info!("target rate instance={instance} rate={rate}");
             }
             NoticeChange::Leaving => {
@@ -144,22 +145,42 @@
         }
     }
 
+    /// Removes the rate that an earlier start of the local target named.
+    fn sync_rate(&self, now: Instant) {
+        let Some(start) = lock(&self.announced_target).start() else {
+            return;
+        };
+        let rate = {
+            let mut notices = lock(&self.target_notices);
+            notices.set_start(&start);
+            notices.rate()
+        };
+        lock(&self.gate).gate.set_rate(rate, now);
+    }
+
     /// Publishes the state that the local target has reported, and updates the gate accordingly.
     pub(super) fn sync_target(&self, now: Instant) {
         let Some(target_settings) = self.settings.target.as_ref().filter(|t| t.announced) else {
             return;
         };
-        let past_target = lock(&self.members).take_past_target();
+        let (past_target, published_slots) = {
+            let mut members = lock(&self.members);
+            let published = members.own_record().target.as_ref().map(|t| t.slots);
+            (members.take_past_target(), published)
+        };
+        self.sync_rate(now);
         let (health, record) = {
             let mut target = lock(&self.announced_target);
             // The earlier incarnation may have published that the target is leaving.
             if let Some(past) = &past_target {
                 target.restore_leaving(past);
             }
+            let slots = target.slots().unwrap_or(target_settings.slots);
+            let usable_slots = lock(&self.gate).gate.usable_slots(published_slots);
             let record = target.instance().map(|instance| TargetRecord {
                 instance: instance.clone(),
                 service: target_settings.service.clone(),
-                slots: target.slots().unwrap_or(target_settings.slots),
+                slots: usable_slots.map_or(slots, |usable| usable.min(slots)),
                 last_report: target.last_report().unwrap_or_default(),
                 leaving: target.is_leaving(),
             });
--- a/src/state/rate.rs
+++ b/src/state/rate.rs
@@ -24,9 +24,8 @@
     /// ```
     pub fn from_per_second(rate: f64) -> Option<RequestRate> {
         let valid = rate.is_finite() && rate >= 0.0;
-        valid.then(|| RequestRate {
-            millis_per_second: (rate * MILLIS) as u64,
-        })
+        let millis_per_second = (rate * MILLIS) as u64;
+        valid.then_some(RequestRate { millis_per_second })
     }
 
     /// The rate in requests per second.
