Give up on a target that sends interim answers without end

What callers saw: a target that sends 1xx answers without end kept its caller until the deadline, and its node busy reading: 393,693,300 bytes in 1.5 s, of which none reaches the caller.

Cause: the HTTP library skips interim answers without a limit; other heads end at its buffer of 417 kB.

Fix: the client counts them and drops the request after 16, which closes the connection; the outcome is unknown (target-broken), as the request was sent.

A body without a length still passes as fast as the caller reads it until the deadline (989 MB in 1.5 s on loopback).

--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -3,6 +3,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use gotham::helpers::http::Body;
@@ -12,6 +14,7 @@
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::sync::Notify;
 
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -26,6 +29,9 @@
 /// Maximum number of idle connections in the pool for each address.
 const IDLE_CONNECTIONS_MAX: usize = 64;
 
+/// Maximum number of interim responses (1xx) to one request.
+const INTERIM_RESPONSES_MAX: usize = 16;
+
 /// Why a request got no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendError {
@@ -49,6 +55,21 @@
     }
 }
 
+/// Counts the interim responses (1xx) to one request. The HTTP library skips them without a limit.
+#[derive(Debug, Default)]
+struct InterimCounter {
+    count: AtomicUsize,
+    too_many: Notify,
+}
+
+impl InterimCounter {
+    fn count(&self) {
+        if self.count.fetch_add(1, Ordering::Relaxed) == INTERIM_RESPONSES_MAX {
+            self.too_many.notify_one();
+        }
+    }
+}
+
 /// A pooled HTTP/1.1 client.
 #[derive(Clone, Debug)]
 pub struct HttpClient(Client<HttpConnector, Body>);
@@ -109,7 +130,15 @@
         mut request: Request<Body>,
     ) -> (Result<Response<Body>, SendError>, ConnectionHandle) {
         let connection = ConnectionHandle(capture_connection(&mut request));
-        (self.exchange(to, request).await, connection)
+        let interim = Arc::new(InterimCounter::default());
+        let counter = interim.clone();
+        hyper::ext::on_informational(&mut request, move |_| counter.count());
+        let result = tokio::select! {
+            result = self.exchange(to, request) => result,
+            // Dropping the exchange closes the connection.
+            () = interim.too_many.notified() => Err(SendError::Broken),
+        };
+        (result, connection)
     }
 
     async fn exchange(
