Count a pause of the process against the deadlines of what waited through it

What callers saw: an order with a deadline of 500 ms, sent to a paused node, ran 1.8 s after it was sent, when the node went on; its sender has long given up and may have ordered again. Operators of similar systems named this (a paused process acts on a permission that has run out).

What arrives during a pause waits unread in the sockets, and the timers of a suspended instance do not advance at all.

Before each further attempt, and when a queued attempt starts, the time for which the instance was suspended meanwhile counts as well.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -15,6 +15,7 @@
 pub mod notice;
 pub mod outcome;
 pub mod pace;
+pub mod pause;
 pub mod pick;
 pub mod queue;
 pub mod retry;
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -69,6 +69,7 @@
         let mut ticks: u32 = 0;
         loop {
             interval.tick().await;
+            self.observe_running();
             let now = Instant::now();
             self.tick(now);
             ticks = ticks.wrapping_add(1);
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -27,6 +27,7 @@
 use crate::state::member::TargetStart;
 use crate::state::rate::RequestRate;
 use crate::transport::client::SendError;
+use crate::transport::clock::read_clocks;
 use crate::transport::http::{Endpoint, empty_response};
 use crate::transport::platform::Platform;
 
@@ -78,7 +79,14 @@
 impl<P: Platform> Endpoint for GateService<P> {
     async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
         match AttemptContext::read(&self.0.fleet_key, request.headers()) {
-            Ok(context) => self.0.run_local(context, request).await,
+            Ok(mut context) => {
+                let unread_time = self.0.observe_running();
+                context.time_left = context.time_left.saturating_sub(unread_time);
+                context.objective_left = context
+                    .objective_left
+                    .map(|o| o.saturating_sub(unread_time));
+                self.0.run_local(context, request).await
+            }
             Err(e) => {
                 log::warn!("rejected a request to the gate: {e}");
                 refusal_response(NotRun::NotAuthentic, 0, Duration::ZERO)
@@ -152,6 +160,7 @@
         context: AttemptContext,
         deadline: Instant,
     ) -> Result<AttemptGuard<P>, Outcome> {
+        let suspended = read_clocks().suspended();
         let request = AdmissionRequest {
             attempt: context.attempt,
             incarnation: context.incarnation,
@@ -186,7 +195,14 @@
         match decision {
             None => Ok(guard),
             Some(decision) => match decision.await {
-                Ok(Ok(())) => Ok(guard),
+                Ok(Ok(())) => {
+                    // The timers of the queue do not advance while the instance is suspended.
+                    let suspended = read_clocks().suspended().saturating_sub(suspended);
+                    match Instant::now() + suspended < deadline {
+                        true => Ok(guard),
+                        false => Err(Outcome::NotRun(NotRun::Deadline)),
+                    }
+                }
                 Ok(Err(reason)) => Err(Outcome::NotRun(reason)),
                 Err(_) => Err(Outcome::NotRun(NotRun::Leaving)),
             },
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -32,6 +32,7 @@
 use crate::state::object::{Class, Limits, Route};
 use crate::state::routing::{Candidate, RouteEntry, RoutingTable, ServiceEntry};
 use crate::transport::client::SendError;
+use crate::transport::clock::read_clocks;
 use crate::transport::http::Endpoint;
 use crate::transport::link::send_request;
 use crate::transport::platform::Platform;
@@ -132,6 +133,8 @@
     headers: HeaderMap,
     body: RequestBody,
     deadline: Instant,
+    /// Total time for which the instance had been suspended when the request was read.
+    suspended: Duration,
     /// Time at which the route's latency objective ends.
     objective: Option<Instant>,
     route: Arc<RouteEntry>,
@@ -170,8 +173,15 @@
         let (mut parts, body) = request.into_parts();
         let dialect = self.platform.dialect();
         let caller_timeout = dialect.caller_timeout(&parts.headers);
+        let unread_time = self.observe_running();
+        let suspended = read_clocks().suspended();
         let elapsed = caller_timeout.map_or(Duration::ZERO, |t| route.caller_elapsed(t));
+        let elapsed = elapsed + unread_time;
         let timeout = caller_timeout.map_or(route.route.deadline, |t| t.min(route.route.deadline));
+        let timeout = timeout.saturating_sub(unread_time);
+        if timeout.is_zero() {
+            return self.local_response(Outcome::NotRun(NotRun::Deadline), RETRY_AFTER_DEFAULT);
+        }
         let buffered = self.body_buffer.buffer_or_stream(&parts.headers, body);
         let body = match tokio::time::timeout_at(started + timeout, buffered).await {
             Ok(Ok(body)) => body,
@@ -186,6 +196,7 @@
             headers: parts.headers,
             body,
             deadline: started + timeout,
+            suspended,
             objective: route
                 .route
                 .objective
@@ -265,6 +276,8 @@
         let mut min_backlog: Option<Duration> = None;
         let mut last_outcome = None;
         loop {
+            // Timers do not advance while the instance is suspended.
+            call.subtract_suspended_time();
             let attempts_left = u64::from(max_attempts - trace.made);
             call.headers
                 .insert(ATTEMPTS_LEFT_HEADER, HeaderValue::from(attempts_left));
@@ -583,6 +596,17 @@
 }
 
 impl Call {
+    /// Moves the deadline and the objective forward by the time for which the instance was
+    /// suspended since the last call.
+    fn subtract_suspended_time(&mut self) {
+        let total = read_clocks().suspended();
+        let new = total.saturating_sub(self.suspended);
+        self.suspended = total;
+        let earlier = |at: &mut Instant| *at = at.checked_sub(new).unwrap_or(*at);
+        earlier(&mut self.deadline);
+        self.objective.iter_mut().for_each(earlier);
+    }
+
     /// Builds the request of one attempt.
     fn build_request(&self) -> Request<Body> {
         let mut request = Request::new(self.body.open());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,7 +12,7 @@
 //!
 //! To avoid deadlocks, mutexes are locked in the order of the fields of [`Node`]: members,
 //! distribution, watcher_slot, announced_target, target_notices, gate, target_health, link_schedule, picker,
-//! retry_budgets, sender, pending_fetches. A lock is never held across an await.
+//! retry_budgets, sender, pending_fetches, pauses. A lock is never held across an await.
 
 mod api;
 mod body;
@@ -51,6 +51,7 @@
 use crate::coordination::health::TargetHealth;
 use crate::coordination::members::Members;
 use crate::coordination::notice::TargetNotices;
+use crate::coordination::pause::PauseDetector;
 use crate::coordination::pick::Picker;
 use crate::coordination::retry::RetryBudgets;
 use crate::coordination::transfer::LinkSchedule;
@@ -63,6 +64,7 @@
 use crate::state::routing::RoutingTable;
 use crate::state::snapshot::{Delta, Snapshot};
 use crate::transport::client::HttpClient;
+use crate::transport::clock::read_clocks;
 use crate::transport::http::{Endpoint, ServeLimits, serve};
 use crate::transport::platform::Platform;
 
@@ -135,6 +137,7 @@
     fleet_retries: ArcSwapOption<FleetRetries>,
     sender: Mutex<DatagramSender>,
     pending_fetches: Mutex<PendingFetches>,
+    pauses: Mutex<PauseDetector>,
     udp: UdpSocket,
     /// HTTP client for the gates of other nodes.
     gate_client: HttpClient,
@@ -332,6 +335,7 @@
             fleet_retries: ArcSwapOption::from_pointee(settings.retries),
             sender: Mutex::new(sender),
             pending_fetches: Mutex::new(PendingFetches::new()),
+            pauses: Mutex::new(PauseDetector::default()),
             udp,
             gate_client: HttpClient::default(),
             target_client: HttpClient::with_idle_timeout(TARGET_IDLE_TIMEOUT),
@@ -394,6 +398,20 @@
         self.leaving.load(Ordering::Acquire)
     }
 
+    /// Records that the process is running, and logs the end of a pause. Returns the longest time
+    /// for which a request that is read now may have waited unread.
+    fn observe_running(&self) -> Duration {
+        let reading = read_clocks();
+        let (ended, unread_time) = {
+            let mut pauses = lock(&self.pauses);
+            (pauses.observe(reading), pauses.unread_time(reading))
+        };
+        if let Some(length) = ended {
+            log::warn!("process was paused ms={}", length.as_millis());
+        }
+        unread_time
+    }
+
     /// Starts the shutdown: the node reports that it is not ready, and asks callers to close their
     /// connections.
     fn start_leaving(&self) {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! platform's key-value service. Decisions about routing, admission and retries are made elsewhere.
 
 pub mod client;
+pub mod clock;
 pub mod http;
 pub mod kv;
 pub mod link;
