Answer the connections that wait to be accepted when a node stops

What callers saw: at a planned stop, a caller whose connection the operating system had established, but the process had not accepted, was reset without an answer; one that had just been accepted was closed before its request was read.

Cause: serve() dropped the listener with its backlog, and hyper closes a connection that has no request in progress at once when it is told to shut down, read or not.

Fix: the backlog is accepted and served before the listener closes, and connections without a request in progress stay open for 100 ms after the shutdown has begun; what arrives meanwhile is answered, with `connection: close`. The shutdown is a small module of our own, as hyper-util's cannot wait.

--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -22,10 +22,10 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+use super::graceful::{Shutdown, ShutdownWatch, serve_until_shutdown};
 use super::pipeline::{EarlyRequest, LookaheadStream, PipelineState, ResponseGuard};
 use super::stall::StallGuard;
 use crate::state::object::Limits;
@@ -109,7 +109,7 @@
     limits: ServeLimits,
     mut stop: watch::Receiver<bool>,
 ) -> bool {
-    let graceful = GracefulShutdown::new();
+    let shutdown = Shutdown::default();
     let permits = Arc::new(Semaphore::new(limits.max_connections));
     loop {
         let permit = tokio::select! {
@@ -122,25 +122,51 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve_connection(stream, endpoint.clone(), graceful.watcher());
+                let connection = serve_connection(stream, endpoint.clone(), shutdown.watch());
                 tokio::spawn(async move {
                     connection.await;
                     drop(permit);
                 });
             }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Err(e) => {
+                log::warn!("no connection accepted: {e}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
-    drop(listener);
-    tokio::time::timeout(limits.drain_timeout, graceful.shutdown())
+    accept_backlog(listener, &endpoint, &shutdown);
+    tokio::time::timeout(limits.drain_timeout, shutdown.finish())
         .await
         .is_ok()
 }
 
+/// Serves the connections that the operating system has established but that were not accepted yet,
+/// and closes the listener. Closing it first would reset them, although their callers may have sent
+/// requests. Their number is bounded by the backlog of the socket.
+fn accept_backlog<E: Endpoint>(listener: TcpListener, endpoint: &Arc<E>, shutdown: &Shutdown) {
+    // Of the runtime's listener only connections that the runtime has been notified of could be
+    // accepted without waiting.
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(e) => return log::warn!("connections that wait to be accepted are reset: {e}"),
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        match stream {
+            Ok(stream) => {
+                tokio::spawn(serve_connection(stream, endpoint.clone(), shutdown.watch()));
+            }
+            Err(e) => log::warn!("a connection that waited to be accepted is reset: {e}"),
+        }
+    }
+}
+
 async fn serve_connection<E: Endpoint>(
     stream: TcpStream,
     endpoint: Arc<E>,
-    shutdown_watcher: hyper_util::server::graceful::Watcher,
+    shutdown: ShutdownWatch,
 ) {
     let Ok(peer) = stream.peer_addr() else {
         return;
@@ -157,6 +183,7 @@
         }
     };
     let stream = LookaheadStream::new(StallGuard::new(stream), pipeline.clone(), start_early);
+    let reader_state = pipeline.clone();
     let service = service_fn(move |request: Request<hyper::body::Incoming>| {
         let endpoint = endpoint.clone();
         let guard = ResponseGuard(pipeline.clone());
@@ -178,9 +205,10 @@
         .max_buf_size(limits.max_head_bytes)
         .auto_date_header(false);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    // Errors are ignored because the caller causes them: it disconnected, or what it sent is not
-    // HTTP.
-    let _ = shutdown_watcher.watch(connection).await;
+    // The caller causes the errors: it disconnected, or what it sent is not HTTP.
+    if let Err(e) = serve_until_shutdown(connection, reader_state, shutdown).await {
+        log::debug!("connection of {peer} ended: {e}");
+    }
 }
 
 /// Handles one request through gotham, which catches panics of the endpoint.
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -73,6 +73,11 @@
         self.lock_current().take()
     }
 
+    /// Whether a request is in progress.
+    pub fn is_busy(&self) -> bool {
+        self.busy.load(Ordering::Acquire)
+    }
+
     /// Records that the response to the current request is ready, so that the next request may be
     /// passed to the HTTP library.
     pub fn finish(&self) {
@@ -185,7 +190,7 @@
                 return;
             };
             let body = request.as_ref().map_or(BodyLength::Unknown, body_length);
-            let must_wait = self.state.busy.load(Ordering::Acquire) || !self.heads.is_empty();
+            let must_wait = self.state.is_busy() || !self.heads.is_empty();
             let early = match request {
                 Some(request) if must_wait && body == BodyLength::Empty => {
                     (self.start_early)(request)
@@ -224,7 +229,7 @@
                 self.head_remaining -= self.copy_buffered(buf, self.head_remaining);
                 return Poll::Ready(Ok(()));
             }
-            let busy = self.state.busy.load(Ordering::Acquire);
+            let busy = self.state.is_busy();
             if busy && self.buffer.len() >= BUFFERED_MAX_BYTES {
                 return Poll::Pending;
             }
