Match a target's answer to its request before the connection is used again

What callers saw: with a target that sends a second copy of an answer late, on a connection already in use for the next request, the next caller got the answer before its own: order-1 was answered with order-0's. On the users' platform the echoed id already prevented it; the product's own dialect had no such check.

Cause: NativeDialect matched nothing, so the order of answers on a connection decided.

Fix: the gate sends tarragon-attempt. An answer that repeats another value is stray, its connection is discarded and the outcome unknown; a connection whose answer repeats none is not used again.

The cost of a new connection per request for such targets was not measured.

--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -21,7 +21,7 @@
 use crate::coordination::gate::{Admission, AdmissionRequest, Gate, GateAction, GateActions};
 use crate::coordination::outcome::{NotRun, OUTCOME_HEADER, Outcome, UnknownReason};
 use crate::node::config::LocalTarget;
-use crate::protocol::dialect::{Dialect, ResponseKind, remove_attempts_left};
+use crate::protocol::dialect::{Dialect, ResponseKind, TargetHop, remove_attempts_left};
 use crate::protocol::headers::{AttemptContext, BACKLOG_HEADER, INTERNAL_HEADERS, LOAD_HEADER};
 use crate::state::id::AttemptId;
 use crate::state::member::TargetStart;
@@ -224,7 +224,12 @@
         let time_left = deadline.saturating_duration_since(Instant::now());
         let sent_to = SentTo::new(self);
         let instance = sent_to.announced.then_some(&*sent_to.start.0);
-        dialect.set_target_headers(request.headers_mut(), time_left, instance);
+        let hop = TargetHop {
+            attempt: context.attempt,
+            time_left,
+            instance,
+        };
+        dialect.set_target_headers(request.headers_mut(), hop);
         let echo = dialect.echo_header(request.headers());
         let request_id = dialect.request_id(request.headers()).to_string();
         // From here on, the target may receive the request, so the outcome is indeterminate until a
@@ -240,6 +245,9 @@
             if kind.is_from_target() {
                 self.handle_notice(&sent_to, dialect.target_notice(&parts.headers));
             }
+            if !dialect.has_echo(&parts.headers, echo.as_ref()) {
+                connection.discard();
+            }
             if kind == ResponseKind::Stray {
                 // The response belongs to another request, and so may all that follow on this
                 // connection.
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -9,10 +9,12 @@
 use http::{StatusCode, response};
 
 use super::headers::{
-    ATTEMPTS_LEFT_HEADER, DEADLINE_HEADER, TARGET_LEAVING_HEADER, TARGET_RATE_HEADER,
+    ATTEMPT_ID_HEADER, ATTEMPTS_LEFT_HEADER, DEADLINE_HEADER, TARGET_LEAVING_HEADER,
+    TARGET_RATE_HEADER,
 };
 use crate::coordination::notice::{RateNotice, TargetNotice};
 use crate::coordination::outcome::{NotRun, OUTCOME_HEADER, Outcome, UnknownReason};
+use crate::state::id::AttemptId;
 use crate::state::rate::RequestRate;
 
 /// Header with the caller's identifier of a request.
@@ -29,6 +31,17 @@
     Stray,
 }
 
+/// What a gate tells the target about a request.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetHop<'a> {
+    /// Identifier of the attempt.
+    pub attempt: AttemptId,
+    /// Time left until the deadline.
+    pub time_left: Duration,
+    /// The instance that the request is intended for, if its name is known.
+    pub instance: Option<&'a str>,
+}
+
 impl ResponseKind {
     /// Whether the response comes from the target that the request was sent to.
     pub fn is_from_target(self) -> bool {
@@ -50,18 +63,16 @@
     /// Sets the headers by which the ingress informs the target about the caller.
     fn set_caller_headers(&self, headers: &mut HeaderMap);
 
-    /// Sets the headers by which a gate informs its target: the time left until the deadline, and
-    /// the instance that the request is intended for.
-    fn set_target_headers(
-        &self,
-        headers: &mut HeaderMap,
-        time_left: Duration,
-        instance: Option<&str>,
-    );
+    /// Sets the headers by which a gate informs its target.
+    fn set_target_headers(&self, headers: &mut HeaderMap, hop: TargetHop<'_>);
 
-    /// Header value of the request that the target must repeat in its response, if there is one.
+    /// Header value of the request that the target repeats in its response, if there is one.
     fn echo_header(&self, headers: &HeaderMap) -> Option<HeaderValue>;
 
+    /// Whether a response repeats the value. The connection of one that does not is not used again:
+    /// a late copy of the response could be taken for the response to the next request.
+    fn has_echo(&self, headers: &HeaderMap, echo: Option<&HeaderValue>) -> bool;
+
     /// Classifies a target's response. `echo` is the value that the response must repeat, and
     /// `shed_status` is the configured status with which targets of the service report that they
     /// shed a request.
@@ -102,28 +113,34 @@
 
     fn set_caller_headers(&self, _headers: &mut HeaderMap) {}
 
-    fn set_target_headers(
-        &self,
-        headers: &mut HeaderMap,
-        time_left: Duration,
-        _instance: Option<&str>,
-    ) {
+    fn set_target_headers(&self, headers: &mut HeaderMap, hop: TargetHop<'_>) {
         headers.insert(
             DEADLINE_HEADER,
-            HeaderValue::from(time_left.as_millis() as u64),
+            HeaderValue::from(hop.time_left.as_millis() as u64),
         );
+        if let Ok(attempt) = HeaderValue::from_str(&hop.attempt.to_string()) {
+            headers.insert(ATTEMPT_ID_HEADER, attempt);
+        }
+    }
+
+    fn echo_header(&self, headers: &HeaderMap) -> Option<HeaderValue> {
+        headers.get(ATTEMPT_ID_HEADER).cloned()
     }
 
-    fn echo_header(&self, _headers: &HeaderMap) -> Option<HeaderValue> {
-        None
+    fn has_echo(&self, headers: &HeaderMap, echo: Option<&HeaderValue>) -> bool {
+        headers.get(ATTEMPT_ID_HEADER) == echo
     }
 
     fn classify_response(
         &self,
         response: &response::Parts,
-        _echo: Option<&HeaderValue>,
+        echo: Option<&HeaderValue>,
         shed_status: Option<u16>,
     ) -> ResponseKind {
+        let repeated = response.headers.get(ATTEMPT_ID_HEADER);
+        if repeated.is_some() && repeated != echo {
+            return ResponseKind::Stray;
+        }
         match Some(response.status.as_u16()) == shed_status {
             true => ResponseKind::NotRun(NotRun::Shed),
             false => ResponseKind::Answered,
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -25,6 +25,9 @@
 /// of an incoming request allows, so that attempts do not multiply along a chain of calls.
 pub const ATTEMPTS_LEFT_HEADER: &str = "tarragon-attempts-left";
 
+/// Identifies an attempt to its target. A target that repeats it in its response lets the node
+/// detect a response to another request, and use the connection again.
+pub const ATTEMPT_ID_HEADER: &str = "tarragon-attempt";
 /// Request rate that a target accepts from all nodes together, in requests per second. A target may
 /// set it in its responses.
 pub const TARGET_RATE_HEADER: &str = "tarragon-target-rate";
@@ -37,7 +40,12 @@
 
 /// Headers that only nodes may set. Nodes remove them from requests of callers and from responses
 /// of targets.
-pub const INTERNAL_HEADERS: [&str; 3] = [ATTEMPT_CONTEXT_HEADER, LOAD_HEADER, BACKLOG_HEADER];
+pub const INTERNAL_HEADERS: [&str; 4] = [
+    ATTEMPT_CONTEXT_HEADER,
+    ATTEMPT_ID_HEADER,
+    LOAD_HEADER,
+    BACKLOG_HEADER,
+];
 
 /// Data about an attempt that an ingress sends to the gate in [`ATTEMPT_CONTEXT_HEADER`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -20,7 +20,9 @@
 use tokio::time::Instant;
 
 use crate::protocol::dialect::REQUEST_ID_HEADER;
-use crate::protocol::headers::{DEADLINE_HEADER, TARGET_LEAVING_HEADER, TARGET_RATE_HEADER};
+use crate::protocol::headers::{
+    ATTEMPT_ID_HEADER, DEADLINE_HEADER, TARGET_LEAVING_HEADER, TARGET_RATE_HEADER,
+};
 use crate::transport::http::{
     Endpoint, body_response, empty_response, json_response, query_number, read_body,
 };
@@ -214,7 +216,11 @@
 
 impl Endpoint for Target {
     async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
+        let attempt = request.headers().get(ATTEMPT_ID_HEADER).cloned();
         let mut response = self.route_request(request).await;
+        if let Some(attempt) = attempt {
+            response.headers_mut().insert(ATTEMPT_ID_HEADER, attempt);
+        }
         self.add_notices(response.headers_mut());
         response
     }
