Reject member records at the end of their counters

What would be seen: a record with the incarnation u64::MAX (or sequence u32::MAX) of a node, from a faulty peer, makes that node add one to it: a panic that ends its receive task in a debug build, an incarnation of zero that no peer accepts in a release build.

Fix: such records are rejected when they are decoded; the bounds lie far beyond any start time in milliseconds.

Result: records_at_the_end_of_their_counters_are_rejected failed before and passes.

--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -372,6 +372,13 @@
     target: Option<WireTargetRecord>,
 }
 
+/// Largest incarnation that is accepted; far beyond any start time in milliseconds. A node takes a
+/// larger one than others hold of it, which must not overflow.
+const INCARNATION_MAX: u64 = 1 << 53;
+/// Largest sequence number of a record that is accepted. A node continues from the largest one that
+/// others hold of it.
+const RECORD_SEQUENCE_MAX: u32 = u32::MAX / 2;
+
 /// The states of a member; each is encoded on the wire as its index in this list.
 const HEALTH_VALUES: [Health; 6] = [
     Health::Cold,
@@ -404,6 +411,12 @@
 
     fn try_from(wire: WireMemberRecord) -> Result<MemberRecord, WireError> {
         let health = HEALTH_VALUES.get(usize::from(wire.health));
+        if wire.incarnation > INCARNATION_MAX {
+            return Err(WireError::OutOfBounds("incarnation"));
+        }
+        if wire.sequence > RECORD_SEQUENCE_MAX {
+            return Err(WireError::OutOfBounds("sequence"));
+        }
         Ok(MemberRecord {
             peer: wire.peer,
             gate_port: wire.gate_port,
--- a/tests/test_protocol.rs
+++ b/tests/test_protocol.rs
@@ -21,7 +21,7 @@
 use tarragoncourse::protocol::headers::AttemptContext;
 use tarragoncourse::protocol::key::FleetKey;
 use tarragoncourse::protocol::peer::{PeerReply, PeerRequest};
-use tarragoncourse::protocol::wire::{WireError, WireObject, WireSnapshot};
+use tarragoncourse::protocol::wire::{WireError, WireMemberRecord, WireObject, WireSnapshot};
 use tarragoncourse::state::id::{AttemptId, Incarnation, Path, Version};
 use tarragoncourse::state::member::{Health, MemberRecord, TargetRecord};
 use tarragoncourse::state::object::{
@@ -340,3 +340,22 @@
     let decoded: Result<WireSnapshot, _> = postcard::from_bytes(&changed);
     assert!(decoded.is_err() || Snapshot::try_from(decoded.unwrap()).is_err());
 }
+
+/// Guards against a record that makes the node that it describes count beyond its largest
+/// incarnation or sequence number when it refutes the record.
+#[test]
+fn records_at_the_end_of_their_counters_are_rejected() {
+    let record = member_record(1);
+    let round_trip = |r: &MemberRecord| MemberRecord::try_from(WireMemberRecord::from(r));
+    assert_eq!(round_trip(&record).as_ref(), Ok(&record));
+    let last_incarnation = MemberRecord {
+        incarnation: Incarnation(u64::MAX),
+        ..record.clone()
+    };
+    assert!(round_trip(&last_incarnation).is_err());
+    let last_sequence = MemberRecord {
+        sequence: u32::MAX,
+        ..record
+    };
+    assert!(round_trip(&last_sequence).is_err());
+}
