Restart background tasks that panic, and wait after socket errors

No such panic is known; found by reading.

Change: supervise() starts a task again 100 ms after a panic and logs its name; accept and receive errors are logged and followed by a pause of 50 ms.

Result: the example of supervise runs a task that panics once. Open: a write task of the claims that panics leaves its shard marked as writing.

--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Mutex, mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -118,7 +118,8 @@
 impl<P: Platform> Node<P> {
     /// Groups operations by shard, and writes the waiting operations of a shard when its pacer
     /// allows it. Each shard has at most one write in progress.
-    pub(super) async fn claim_loop(self: Arc<Self>, mut receiver: ClaimReceiver) {
+    pub(super) async fn claim_loop(self: Arc<Self>, receiver: Arc<Mutex<ClaimReceiver>>) {
+        let mut receiver = receiver.lock().await;
         let mut shards: BTreeMap<u64, Shard> = BTreeMap::new();
         let mut writes = JoinSet::new();
         loop {
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -40,6 +40,8 @@
 const RING_NEIGHBOURS_PER_SIDE: usize = 3;
 /// Timeout of a fetch over UDP, after which TCP is used.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(200);
+/// Delay after an error of the datagram socket.
+const RECEIVE_ERROR_DELAY: Duration = Duration::from_millis(50);
 /// Ticks between removals of the load statistics of unused targets; one minute.
 const EVICT_INTERVAL_TICKS: u32 = 1200;
 
@@ -49,8 +51,13 @@
         let mut opener = DatagramOpener::new(self.fleet_key.clone());
         let mut buffer = [0; DATAGRAM_MAX_BYTES + 1];
         loop {
-            let Ok((length, _)) = self.udp.recv_from(&mut buffer).await else {
-                continue;
+            let length = match self.udp.recv_from(&mut buffer).await {
+                Ok((length, _)) => length,
+                Err(e) => {
+                    log::warn!("no datagram received: {e}");
+                    tokio::time::sleep(RECEIVE_ERROR_DELAY).await;
+                    continue;
+                }
             };
             match opener.open(&buffer[..length]) {
                 Ok((from, datagram)) => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -28,6 +28,7 @@
 mod metrics;
 mod peer_server;
 mod store;
+pub mod supervise;
 mod target;
 mod watch;
 
@@ -71,6 +72,7 @@
 use body::BodyBuffer;
 pub use claims::ClaimQueue;
 pub use metrics::Metrics;
+use supervise::supervise;
 
 /// Idle timeout of connections to the local target. Targets close idle connections after a few
 /// seconds, and a request that is sent at that moment would be lost.
@@ -288,16 +290,30 @@
     }
 
     fn spawn_control(&mut self, peers: TcpListener, claim_receiver: claims::ClaimReceiver) {
-        let node = &self.node;
-        self.control.spawn(node.clone().receive_loop());
-        self.control.spawn(node.clone().tick_loop());
-        self.control.spawn(node.clone().peer_loop(peers));
-        self.control.spawn(node.clone().join_loop());
-        self.control.spawn(node.clone().slot_loop());
-        self.control.spawn(node.clone().watch_loop());
-        self.control.spawn(node.clone().target_loop());
-        self.control.spawn(node.clone().pace_loop());
-        self.control.spawn(node.clone().claim_loop(claim_receiver));
+        let listener = Arc::new(peers);
+        let claim_receiver = Arc::new(tokio::sync::Mutex::new(claim_receiver));
+        self.spawn_task("receive", Node::receive_loop);
+        self.spawn_task("tick", Node::tick_loop);
+        self.spawn_task("peer", move |node| node.peer_loop(listener.clone()));
+        self.spawn_task("join", Node::join_loop);
+        self.spawn_task("slot", Node::slot_loop);
+        self.spawn_task("watch", Node::watch_loop);
+        self.spawn_task("target", Node::target_loop);
+        self.spawn_task("pace", Node::pace_loop);
+        self.spawn_task("claim", move |node| node.claim_loop(claim_receiver.clone()));
+    }
+
+    /// Spawns a background task that is restarted if it panics.
+    fn spawn_task<F>(
+        &mut self,
+        name: &'static str,
+        run: impl Fn(Arc<Node<P>>) -> F + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let node = self.node.clone();
+        self.control
+            .spawn(supervise(name, move || run(node.clone())));
     }
 }
 
--- a/src/node/peer_server.rs
+++ b/src/node/peer_server.rs
@@ -27,7 +27,7 @@
 
 impl<P: Platform> Node<P> {
     /// Accepts connections from other nodes, and serves each one in a task.
-    pub(super) async fn peer_loop(self: Arc<Self>, listener: TcpListener) {
+    pub(super) async fn peer_loop(self: Arc<Self>, listener: Arc<TcpListener>) {
         let connections = Arc::new(Semaphore::new(PEER_CONNECTIONS_MAX));
         loop {
             let permit = connections
@@ -43,7 +43,10 @@
                         drop(permit);
                     });
                 }
-                Err(_) => tokio::time::sleep(ACCEPT_ERROR_DELAY).await,
+                Err(e) => {
+                    log::warn!("no connection of a peer accepted: {e}");
+                    tokio::time::sleep(ACCEPT_ERROR_DELAY).await;
+                }
             }
         }
     }
