Keep a target that left out of use when its node restarts

What callers saw: a target that had reported that it leaves was used again after its node was killed and started: 60 of 60 requests ran there, when a delayed heartbeat arrived after the restart.

Cause: three holes. A joining node sent its own record first, and the peer's reply held the table after merging it, so the record of the earlier process, which tells of the leave, had just been replaced; every other peer replaces it the same way. The gate opened with the first report, before any peer had been heard. And other ingresses believed the new record.

Fix: the reply to a join holds the table from before; peers that replace a record of a leaving target send it to the restarted node (eight expected, so that the number does not grow with the fleet); the gate stays shut until a peer has told, no process has ever held a slot, or 3 s have passed; every node remembers the start that left, from the record or from an answer that it passed on, and offers it no requests (this replaces the memory of the picker).

--- a/src/coordination/members/mod.rs
+++ b/src/coordination/members/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::state::id::{Incarnation, Path, Version};
 use crate::state::member::{
-    Health, MemberRecord, MemberTable, MergeOutcome, TABLE_BUCKETS, TargetRecord,
+    Health, MemberRecord, MemberTable, MergeOutcome, TABLE_BUCKETS, TargetRecord, TargetStart,
 };
 
 /// Interval between pings of one gone member, chosen at random, to detect members that have
@@ -25,6 +25,8 @@
 pub const GONE_RETRY_PERIOD: Duration = Duration::from_secs(5);
 /// Interval between batches of gossip.
 const GOSSIP_PERIOD: Duration = Duration::from_millis(200);
+/// Expected number of peers that remind a restarted node of a target that was leaving.
+const LEAVE_REMINDERS: f64 = 8.0;
 
 pub use gossip::{DIGEST_PERIOD, RECORDS_PER_DATAGRAM};
 pub use probe::{GONE_RETENTION, PROBE_PERIOD, PROBE_TIMEOUT, SUSPICION_TIMEOUT_BASE};
@@ -153,6 +155,8 @@
     sync_peer: Option<SocketAddr>,
     /// Target record that an earlier incarnation of this node published.
     past_target: Option<TargetRecord>,
+    /// Records of earlier processes to be sent to the nodes that they describe.
+    reminders: Vec<MemberRecord>,
     last_tick: Instant,
     counts: MemberCounts,
 }
@@ -186,6 +190,7 @@
             next_full_sync: now,
             sync_peer: None,
             past_target: None,
+            reminders: Vec::new(),
             last_tick: now,
             counts: MemberCounts::default(),
         }
@@ -217,6 +222,14 @@
         self.past_target.take()
     }
 
+    /// Records that the target of a peer said in an answer that it is leaving.
+    pub fn mark_left(&mut self, peer: SocketAddr, start: TargetStart) {
+        self.table.mark_left(peer, start);
+        let target = self.table.get(&peer).and_then(|r| r.target.as_ref());
+        self.changed_services
+            .extend(target.map(|t| t.service.clone()));
+    }
+
     /// Services whose targets changed since the last call.
     pub fn take_changed_services(&mut self) -> BTreeSet<Path> {
         std::mem::take(&mut self.changed_services)
@@ -312,6 +325,10 @@
     pub fn tick(&mut self, version: Version, now: Instant, out: &mut Outbox) {
         self.version = version;
         self.detect_pause(now);
+        for record in self.reminders.drain(..) {
+            let records = vec![record.clone()];
+            out.push((record.peer, Message::Gossip { records }));
+        }
         self.check_probe(now, out);
         self.check_suspects(now);
         self.evict_gone(now);
@@ -382,6 +399,9 @@
         let before = self.table.get(&record.peer).cloned();
         let merged = self.table.merge(record);
         if merged == MergeOutcome::Updated {
+            if let Some(before) = before.as_deref() {
+                self.remind_of_leave(before, record);
+            }
             let targets = [before.as_deref(), Some(record)];
             let services = targets
                 .into_iter()
@@ -395,6 +415,17 @@
         merged
     }
 
+    /// Queues the record of an earlier process for the node that has restarted, if the target of that
+    /// process was leaving. The node cannot know it otherwise.
+    fn remind_of_leave(&mut self, before: &MemberRecord, record: &MemberRecord) {
+        let restarted = before.incarnation < record.incarnation;
+        let leaving = before.target.as_ref().is_some_and(|t| t.leaving);
+        let share = LEAVE_REMINDERS / self.table.alive_count().max(1) as f64;
+        if restarted && leaving && self.rng.f64() < share {
+            self.reminders.push(before.clone());
+        }
+    }
+
     /// Starts or ends the suspicion and retention periods of a member according to its record.
     fn track_health(&mut self, record: &MemberRecord, now: Instant) {
         self.suspects.remove(&record.peer);
--- a/src/coordination/pick.rs
+++ b/src/coordination/pick.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::state::id::Incarnation;
-use crate::state::member::{Health, TargetStart};
+use crate::state::member::Health;
 use crate::state::routing::Candidate;
 
 /// Requests of at least this many bytes go to the local target of their ingress if it has a free
@@ -38,8 +38,6 @@
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(500);
 /// Time after which the statistics of an unused target are dropped.
 const STATS_RETENTION: Duration = Duration::from_secs(300);
-/// Time for which a target is remembered as leaving; longer than any target takes to leave.
-const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 /// Weight of the newest sample in a target's mean response time.
 const RESPONSE_TIME_WEIGHT: f64 = 0.1;
 /// Weight of one recent refusal relative to the load. A target that sheds requests answers quickly
@@ -177,9 +175,6 @@
 #[derive(Debug)]
 pub struct Picker {
     stats: HashMap<SocketAddr, TargetStats>,
-    /// Targets that said in an answer that they are leaving, by peer address, and when they did. A
-    /// node that restarts beside such a target does not know of it at first.
-    leaving: HashMap<SocketAddr, (TargetStart, Instant)>,
     rng: fastrand::Rng,
     ejections: u64,
 }
@@ -189,7 +184,6 @@
     pub fn new(rng: fastrand::Rng) -> Picker {
         Picker {
             stats: HashMap::new(),
-            leaving: HashMap::new(),
             rng,
             ejections: 0,
         }
@@ -211,7 +205,7 @@
         self.sync_candidates(candidates, now);
         let untried: SmallVec<[&Candidate; 16]> = candidates
             .iter()
-            .filter(|c| !tried.contains(&c.peer) && !self.is_leaving(c))
+            .filter(|c| !tried.contains(&c.peer))
             .collect();
         let usable: SmallVec<[&Candidate; 16]> = untried
             .iter()
@@ -281,16 +275,6 @@
         }
     }
 
-    /// Records that a target said in an answer that it is leaving. It gets no further requests.
-    pub fn record_leaving(&mut self, peer: SocketAddr, start: TargetStart, now: Instant) {
-        self.leaving.insert(peer, (start, now));
-    }
-
-    fn is_leaving(&self, c: &Candidate) -> bool {
-        let leaving = self.leaving.get(&c.peer);
-        leaving.is_some_and(|(start, _)| *start == c.start)
-    }
-
     /// Number of attempts of this node at a target.
     pub fn in_flight(&self, peer: &SocketAddr) -> u32 {
         self.stats.get(peer).map_or(0, |s| s.in_flight)
@@ -306,8 +290,6 @@
     pub fn evict_unused(&mut self, now: Instant) {
         self.stats
             .retain(|_, s| s.in_flight > 0 || now - s.last_used < STATS_RETENTION);
-        self.leaving
-            .retain(|_, (_, at)| now - *at < LEAVING_RETENTION);
     }
 
     /// Adds statistics for new candidates, and resets those of targets whose incarnation has
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -389,8 +389,8 @@
                 .target_notice(response.headers())
                 .leaving
         {
-            let (start, now) = (target.start.clone(), Instant::now());
-            lock(&self.picker).record_leaving(target.peer, start, now);
+            lock(&self.members).mark_left(target.peer, target.start.clone());
+            self.refresh_targets();
         }
     }
 
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -39,6 +39,9 @@
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Time after which a join round fails if the configuration has not arrived.
 const READY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time after the start for which the gate stays closed because no peer has told what an
+/// earlier process at this address published.
+const HISTORY_WAIT_MAX: Duration = Duration::from_secs(3);
 /// Longest interval between comparisons of a joined node's member table with the watcher slots.
 const REJOIN_INTERVAL_MAX: Duration = Duration::from_secs(10);
 /// Shortest interval between these comparisons: just after joining, and while the table grows or
@@ -81,6 +84,12 @@
         self.rejoin_loop().await;
     }
 
+    /// Whether the node knows what an earlier process at its address published about the local
+    /// target, or has waited for it long enough.
+    pub(super) fn is_history_known(&self) -> bool {
+        self.history_known.load(Ordering::Acquire) || self.started.elapsed() >= HISTORY_WAIT_MAX
+    }
+
     /// Makes the node ready to serve callers.
     pub(super) fn become_ready(&self) {
         if !self.ready.swap(true, Ordering::AcqRel) {
@@ -96,7 +105,12 @@
         let holders = holders.filter_map(|(_, v)| decode_slot(&v.text));
         let mut candidates: Vec<SocketAddr> = holders.collect();
         candidates.extend(&self.settings.peers);
+        // A slot of this address was acquired by an earlier process, which peers may remember.
+        let is_first_node = slots.is_ok() && candidates.is_empty();
         let peers = self.join_peers(candidates).await;
+        if is_first_node || peers.1 > 0 {
+            self.history_known.store(true, Ordering::Release);
+        }
         let head = self.platform_version().await;
         self.wait_for_version(RoundResult { head, peers }).await
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -156,6 +156,9 @@
     body_buffer: BodyBuffer,
     metrics: Metrics,
     ready: AtomicBool,
+    /// Whether the node knows what an earlier process at its address published, or that no peer can
+    /// tell.
+    history_known: AtomicBool,
     leaving: AtomicBool,
     /// Notified when a read of the operator's document has ended, whether it succeeded or failed.
     /// Joining waits for the first read.
@@ -366,6 +369,7 @@
             body_buffer: BodyBuffer::new(settings.replay_body),
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
+            history_known: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             first_read: Notify::new(),
             document_failing: AtomicBool::new(false),
--- a/src/node/peer_server.rs
+++ b/src/node/peer_server.rs
@@ -120,11 +120,13 @@
         PeerReply::Pull(PullReply::Busy(others))
     }
 
-    /// Adds a joining node to the member table, and returns the table and the newest known version.
+    /// Adds a joining node to the member table, and returns the table from before and the newest
+    /// known version. The table may hold the record of an earlier process at the address of the
+    /// joining node, which tells whether the local target is leaving.
     fn join_reply(&self, record: &MemberRecord) -> PeerReply {
         let mut members = lock(&self.members);
-        members.merge_records(std::slice::from_ref(record), Instant::now());
         let records = members.table().records().map(|r| (**r).clone()).collect();
+        members.merge_records(std::slice::from_ref(record), Instant::now());
         drop(members);
         // The newest known version has been accepted, even if it is not active on this node yet.
         let newest_known: Version = lock(&self.distribution).newest_known();
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -1,6 +1,7 @@
 //! The local target: probes it, processes its reports, and publishes its health to the fleet.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use gotham::helpers::http::Body;
@@ -207,6 +208,9 @@
             let published = members.own_record().target.as_ref().map(|t| t.slots);
             (members.take_past_target(), published)
         };
+        if past_target.is_some() {
+            self.history_known.store(true, Ordering::Release);
+        }
         self.sync_rate(now);
         let (health, record) = {
             let mut target = lock(&self.announced_target);
@@ -245,7 +249,11 @@
             }
             !unchanged
         };
-        self.publish_health(health);
+        // The target may have told an earlier process that it is leaving.
+        self.publish_health(match self.is_history_known() {
+            true => health,
+            false => Health::Down,
+        });
         if changed {
             self.refresh_gate();
         }
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -145,6 +145,9 @@
     service_index: BTreeMap<Path, BTreeSet<SocketAddr>>,
     bucket_digests: [u64; TABLE_BUCKETS],
     alive_count: usize,
+    /// The start of the last target at each address that is known to have been leaving. A node that
+    /// restarts beside such a target may publish it again before it learns of the leave.
+    left: BTreeMap<SocketAddr, TargetStart>,
 }
 
 impl Default for MemberTable {
@@ -155,6 +158,7 @@
             service_index: BTreeMap::new(),
             bucket_digests: [0; TABLE_BUCKETS],
             alive_count: 0,
+            left: BTreeMap::new(),
         }
     }
 }
@@ -170,15 +174,30 @@
                 std::cmp::Ordering::Greater => self.remove_from_indexes(existing),
             }
         }
+        if let Some(target) = record.target.as_ref().filter(|t| t.leaving) {
+            self.mark_left(record.peer, target.start());
+        }
         self.insert(Arc::new(record.clone()));
         MergeOutcome::Updated
     }
 
+    /// Records that a target is leaving, whatever the records of its node say from now on.
+    pub fn mark_left(&mut self, peer: SocketAddr, start: TargetStart) {
+        self.left.insert(peer, start);
+    }
+
+    /// Whether the target of a record is known to have been leaving.
+    pub fn has_left(&self, record: &MemberRecord) -> bool {
+        let target = record.target.as_ref();
+        target.is_some_and(|t| t.leaving || self.left.get(&record.peer) == Some(&t.start()))
+    }
+
     /// Removes the record of an address.
     pub fn remove(&mut self, peer: &SocketAddr) {
         if let Some(existing) = self.records.get(peer).cloned() {
             self.remove_from_indexes(&existing);
             self.records.remove(peer);
+            self.left.remove(peer);
         }
     }
 
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -269,6 +269,7 @@
         let candidates = members
             .records_of_service(path)
             .filter(accepting)
+            .filter(|r| !members.has_left(r))
             .filter_map(|r| self.candidate(r))
             .collect();
         ServiceEntry {
@@ -278,9 +279,9 @@
     }
 
     /// Returns the target of a member as a candidate, or `None` if the member has no target or its
-    /// target is leaving or drained.
+    /// target is drained.
     fn candidate(&self, record: &MemberRecord) -> Option<Candidate> {
-        let target = record.target.as_ref().filter(|t| !t.leaving)?;
+        let target = record.target.as_ref()?;
         let settings = self.target_settings(&target.instance);
         if settings.is_some_and(|t| t.drained) {
             return None;
