--- a/src/experiment/faults.rs
+++ b/src/experiment/faults.rs
@@ -29,16 +29,8 @@
 const ORDER_ROUTE: usize = 1;
 
 const NORMAL_BEHAVIOUR: Behaviour = Behaviour {
-    slots: 12,
     service_ms: 20,
-    cold_ms: 0,
-    shed: false,
-    healthy: true,
-    lag_ms: 0,
-    draining: false,
-    rate: 0.0,
-    says_leaving: false,
-    cut: false,
+    ..Behaviour::NORMAL
 };
 
 /// Fault that is injected while requests are sent.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 //! retry_budgets, sender, pending_fetches, pauses. A lock is never held across an await.
 
 mod api;
+mod attempt;
 mod body;
 mod claims;
 pub mod config;
--- a/src/soak/check.rs
+++ b/src/soak/check.rs
@@ -1,11 +1,13 @@
 //! Checks of a finished run, based on what callers, targets and administrators observed.
 
 use std::collections::{HashMap, HashSet};
+use std::time::Duration;
 
 use derive_more::Display;
 use tokio::time::Instant;
 
 use crate::load::CallerResult;
+use crate::standin::target::RatePeriod;
 
 /// Minimum share of the requests in the recovery window that must be answered.
 const ANSWERED_SHARE_MIN: f64 = 0.95;
@@ -69,6 +71,15 @@
     pub exit_code: Option<i32>,
 }
 
+/// Time after the first answer that named a rate from which the requests count.
+const RATE_GRACE: Duration = Duration::from_millis(500);
+/// Length of the windows in which requests at a target that names a rate are counted.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// How many times the named rate a target may get in a window.
+const RATE_FACTOR_MAX: f64 = 1.5;
+/// Requests that a target may get in a window in addition.
+const RATE_SLACK: f64 = 5.0;
+
 /// Everything that was observed in a run.
 #[derive(Clone, Debug)]
 pub struct Observations {
@@ -86,6 +97,8 @@
     pub final_samples: Vec<ConfigSample>,
     /// Planned stops that are not close in time to another event that may disturb them.
     pub stops: Vec<PlannedStop>,
+    /// Rates that targets named, where nothing kept their nodes from hearing them.
+    pub rates: Vec<RatePeriod>,
     /// Start of the recovery window: most requests sent from then on must be answered.
     pub recovery_start: Instant,
     /// Requests that still run at the targets some time after all callers have disconnected.
@@ -102,6 +115,7 @@
             samples: Vec::new(),
             final_samples: Vec::new(),
             stops: Vec::new(),
+            rates: Vec::new(),
             recovery_start: Instant::now(),
             unfinished: 0,
         }
@@ -120,7 +134,7 @@
 
 /// Names of the checks, as printed in the report. The checks refer to them by index. `repeats` is
 /// the check of the number of retries.
-pub const CHECK_NAMES: [&str; 10] = [
+pub const CHECK_NAMES: [&str; 11] = [
     "responses are correct",
     "at most once",
     "not-run requests did not run",
@@ -131,6 +145,7 @@
     "planned stops interrupt no request",
     "requests succeed after the last fault",
     "no request runs after all callers have left",
+    "targets get no more than the rate they name",
 ];
 
 /// Runs all checks and returns those that failed.
@@ -156,6 +171,7 @@
         let details = format!("{} requests are still running", observed.unfinished);
         found.push(violation(CHECK_NAMES[9], details));
     }
+    found.extend(observed.rates.iter().filter_map(check_rate));
     found
 }
 
@@ -262,6 +278,24 @@
     Some(violation(CHECK_NAMES[7], details))
 }
 
+/// Checks each window of one second, from half a second after the first answer that named the rate.
+fn check_rate(period: &RatePeriod) -> Option<Violation> {
+    let counted_from = period.named_at? + RATE_GRACE;
+    let counted = |at: &&Instant| **at >= counted_from;
+    let arrivals: Vec<Instant> = period.arrivals.iter().filter(counted).copied().collect();
+    let allowed = period.rate * RATE_FACTOR_MAX * RATE_WINDOW.as_secs_f64() + RATE_SLACK;
+    let in_window = |from: &Instant| {
+        let within = |at: &&Instant| **at >= *from && **at < *from + RATE_WINDOW;
+        arrivals.iter().filter(within).count()
+    };
+    let most = arrivals.iter().map(in_window).max()?;
+    let details = format!(
+        "{most} requests in a second at a rate of {}, at most {allowed} allowed",
+        period.rate
+    );
+    (most as f64 > allowed).then(|| violation(CHECK_NAMES[10], details))
+}
+
 fn check_recovery(observed: &Observations) -> Option<Violation> {
     let in_window = |r: &&RequestRecord| r.started >= observed.recovery_start && !r.abandoned;
     let sent = observed.requests.iter().filter(in_window).count();
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -33,16 +33,8 @@
 
 /// Behaviour of targets while no fault is injected.
 pub const NORMAL_BEHAVIOUR: Behaviour = Behaviour {
-    slots: 12,
     service_ms: 5,
-    cold_ms: 0,
-    shed: false,
-    healthy: true,
-    lag_ms: 0,
-    draining: false,
-    rate: 0.0,
-    says_leaving: false,
-    cut: false,
+    ..Behaviour::NORMAL
 };
 /// Host name of every route.
 pub const HOST: &str = "soak.example";
@@ -285,6 +277,11 @@
         .await;
     }
 
+    /// The target of a node.
+    pub fn target(&self, node: usize) -> &Arc<Target> {
+        &self.nodes[node].target
+    }
+
     /// Sets the behaviour of a node's target.
     pub fn set_target_behaviour(&self, node: usize, behaviour: Behaviour) {
         self.nodes[node].target.set_behaviour(behaviour);
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -22,10 +22,12 @@
 use tokio::time::Instant;
 
 use callers::Caller;
-use check::{ConfigSample, Observations, PlannedStop, Violation, violations};
+use check::{AcceptedChange, ConfigSample, Observations, PlannedStop, Violation, violations};
 use fleet::Fleet;
 use schedule::{Event, Fault, ScheduledEvent};
 
+use crate::standin::target::RatePeriod;
+
 /// Time within which the fleet must become ready before the first fault.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval between samples of the configuration that each node has in force.
@@ -115,6 +117,14 @@
     Ok(report)
 }
 
+/// What was observed of one event.
+enum EventObservation {
+    Accepted(AcceptedChange),
+    Stop(PlannedStop),
+    /// A rate that a target named, with the number of the event.
+    Rate(usize, RatePeriod),
+}
+
 /// Runs the scheduled events at their offsets; events may overlap.
 async fn run_schedule(fleet: &Arc<Fleet>, events: &[ScheduledEvent]) -> Observations {
     let started = Instant::now();
@@ -124,15 +134,34 @@
         tasks.spawn(async move {
             tokio::time::sleep_until(started + scheduled.offset).await;
             match scheduled.event {
-                Event::Change => (fleet.apply_change(number).await, None),
-                Event::Fault(fault) => (None, inject(&fleet, fault, scheduled.duration).await),
+                Event::Change => fleet
+                    .apply_change(number)
+                    .await
+                    .map(EventObservation::Accepted),
+                Event::Fault(Fault::Rate(node, rate)) => {
+                    let target = fleet.target(node);
+                    target.start_naming_rate(f64::from(rate));
+                    tokio::time::sleep(scheduled.duration).await;
+                    let period = target.stop_naming_rate();
+                    period.map(|p| EventObservation::Rate(number, p))
+                }
+                Event::Fault(fault) => inject(&fleet, fault, scheduled.duration)
+                    .await
+                    .map(EventObservation::Stop),
             }
         });
     }
     let mut observed = Observations::default();
-    for (accepted, stop) in tasks.join_all().await {
-        observed.accepted.extend(accepted);
-        observed.stops.extend(stop);
+    for observation in tasks.join_all().await.into_iter().flatten() {
+        match observation {
+            EventObservation::Accepted(change) => observed.accepted.push(change),
+            EventObservation::Stop(stop) => observed.stops.push(stop),
+            EventObservation::Rate(number, period) => {
+                if is_heard(events, number) {
+                    observed.rates.push(period);
+                }
+            }
+        }
     }
     // Only planned stops without another disturbing event are checked, because otherwise the other
     // event may have caused the failure of a request. The stop itself counts as one event.
@@ -144,6 +173,16 @@
     observed
 }
 
+/// Whether the node could hear the rate that its target named in an event.
+fn is_heard(events: &[ScheduledEvent], number: usize) -> bool {
+    let Event::Fault(Fault::Rate(node, _)) = events[number].event else {
+        return false;
+    };
+    !events
+        .iter()
+        .any(|e| e.hides_answers(node, &events[number]))
+}
+
 async fn inject(fleet: &Fleet, fault: Fault, duration: Duration) -> Option<PlannedStop> {
     match fault {
         Fault::Kill(node) => {
@@ -179,6 +218,7 @@
             tokio::time::sleep(duration).await;
             fleet.set_target_behaviour(node, fleet::NORMAL_BEHAVIOUR);
         }
+        Fault::Rate(..) => {}
     }
     None
 }
--- a/src/soak/schedule.rs
+++ b/src/soak/schedule.rs
@@ -14,6 +14,10 @@
 const BURST_CHANGES: usize = 8;
 /// Longest duration of a fault.
 const FAULT_DURATION_MAX: Duration = Duration::from_secs(4);
+/// Mean time between the starts of two named rates.
+const RATE_INTERVAL_MEAN: Duration = Duration::from_secs(3);
+/// Longest time for which a target names a rate.
+const RATE_DURATION_MAX: Duration = Duration::from_secs(8);
 /// Time before and after a planned stop within which another event may be the cause of a failed
 /// request.
 const DISTURBANCE_WINDOW: Duration = Duration::from_secs(8);
@@ -46,6 +50,8 @@
     Platform(PlatformFaults),
     /// Changes the behaviour of a node's target.
     Target(usize, Behaviour),
+    /// Makes a node's target name a rate in its answers, in requests per second.
+    Rate(usize, u32),
 }
 
 /// An event of the schedule.
@@ -73,6 +79,7 @@
             Fault::Link(_, Link::Target, _) => "link to a target",
             Fault::Platform(_) => "store",
             Fault::Target(..) => "target",
+            Fault::Rate(..) => "named rate",
         }
     }
 }
@@ -96,13 +103,25 @@
         let near = self.offset < at + DISTURBANCE_WINDOW
             && at < self.offset + self.duration + DISTURBANCE_WINDOW;
         let affects = match self.event {
-            Event::Change | Event::Fault(Fault::Reload(_) | Fault::Platform(_)) => false,
+            Event::Change
+            | Event::Fault(Fault::Reload(_) | Fault::Platform(_) | Fault::Rate(..)) => false,
             Event::Fault(Fault::Link(n, Link::Platform, _)) => n == node,
             // The node may have forwarded the request to any other node.
             Event::Fault(_) => true,
         };
         near && affects
     }
+
+    /// Whether the event can keep a node from hearing what its target says during another event.
+    pub fn hides_answers(&self, node: usize, other: &ScheduledEvent) -> bool {
+        let overlaps = self.offset < other.offset + other.duration
+            && other.offset < self.offset + self.duration;
+        let on_link =
+            matches!(self.event, Event::Fault(Fault::Link(n, Link::Target, _)) if n == node);
+        let cuts_answers =
+            matches!(self.event, Event::Fault(Fault::Target(n, b)) if n == node && b.cut);
+        overlaps && (on_link || cuts_answers)
+    }
 }
 
 /// Generates the events of a run. The same arguments give the same schedule, and every fault ends
@@ -140,6 +159,26 @@
         events.extend(std::iter::repeat_n(change, count));
         offset += exponential_interval(&mut rng, CHANGE_INTERVAL_MEAN);
     }
+    events.extend(generate_rates(seed, nodes, duration));
+    events
+}
+
+/// Generates the times at which targets name a rate. They have random numbers of their own, so that
+/// the other events of a seed do not depend on them.
+fn generate_rates(seed: u64, nodes: usize, duration: Duration) -> Vec<ScheduledEvent> {
+    let mut rng = fastrand::Rng::with_seed(!seed);
+    let mut events = Vec::new();
+    let mut offset = exponential_interval(&mut rng, RATE_INTERVAL_MEAN);
+    while offset < duration {
+        let longest = RATE_DURATION_MAX.min(duration - offset).as_secs_f64();
+        let rate = Fault::Rate(rng.usize(..nodes), rng.u32(1..30));
+        events.push(ScheduledEvent {
+            offset,
+            duration: Duration::from_secs_f64(rng.f64() * longest),
+            event: Event::Fault(rate),
+        });
+        offset += exponential_interval(&mut rng, RATE_INTERVAL_MEAN);
+    }
     events
 }
 
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -64,20 +64,25 @@
     pub cut: bool,
 }
 
+impl Behaviour {
+    /// A warm target with 12 slots that answers each request after 2 ms.
+    pub const NORMAL: Behaviour = Behaviour {
+        slots: 12,
+        service_ms: 2,
+        cold_ms: 0,
+        shed: false,
+        healthy: true,
+        lag_ms: 0,
+        draining: false,
+        rate: 0.0,
+        says_leaving: false,
+        cut: false,
+    };
+}
+
 impl Default for Behaviour {
     fn default() -> Self {
-        Behaviour {
-            slots: 12,
-            service_ms: 2,
-            cold_ms: 0,
-            shed: false,
-            healthy: true,
-            lag_ms: 0,
-            draining: false,
-            rate: 0.0,
-            says_leaving: false,
-            cut: false,
-        }
+        Behaviour::NORMAL
     }
 }
 
@@ -97,9 +102,22 @@
     }
 }
 
+/// A time during which a target named a rate in its answers, and the requests that arrived.
+#[derive(Clone, Debug)]
+pub struct RatePeriod {
+    /// The rate, in requests per second.
+    pub rate: f64,
+    /// When the first answer named the rate; `None` if there was none.
+    pub named_at: Option<Instant>,
+    /// Requests that arrived after that.
+    pub arrivals: Vec<Instant>,
+}
+
 /// A target stand-in.
 pub struct Target {
     behaviour: Mutex<Behaviour>,
+    /// The current period, if the target names a rate in addition to its behaviour.
+    rate_period: Mutex<Option<RatePeriod>>,
     runs: Mutex<HashMap<String, u32>>,
     running: AtomicU32,
     /// State that the health and load pages show, and when it was recorded.
@@ -123,6 +141,7 @@
     pub fn new(behaviour: Behaviour) -> Arc<Target> {
         Arc::new(Target {
             behaviour: Mutex::new(behaviour),
+            rate_period: Mutex::new(None),
             runs: Mutex::new(HashMap::new()),
             running: AtomicU32::new(0),
             published: Mutex::new((Instant::now(), PublishedState::default())),
@@ -135,6 +154,20 @@
         *lock(&self.behaviour) = behaviour;
     }
 
+    /// Starts to name a rate, whatever the behaviour is.
+    pub fn start_naming_rate(&self, rate: f64) {
+        *lock(&self.rate_period) = Some(RatePeriod {
+            rate,
+            named_at: None,
+            arrivals: Vec::new(),
+        });
+    }
+
+    /// Ends the period that [`Target::start_naming_rate`] started.
+    pub fn stop_naming_rate(&self) -> Option<RatePeriod> {
+        lock(&self.rate_period).take()
+    }
+
     /// Maximum number of concurrent requests.
     pub fn slots(&self) -> u32 {
         lock(&self.behaviour).slots
@@ -151,6 +184,11 @@
     }
 
     async fn handle_request(&self, request: Request<Body>) -> Response<Body> {
+        if let Some(period) = &mut *lock(&self.rate_period)
+            && period.named_at.is_some()
+        {
+            period.arrivals.push(Instant::now());
+        }
         let behaviour = *lock(&self.behaviour);
         let running = RunningGuard::new(&self.running);
         if behaviour.shed || behaviour.draining || running.count > behaviour.slots {
@@ -230,8 +268,13 @@
     /// Adds what the target says about itself to a response.
     fn add_notices(&self, headers: &mut HeaderMap) {
         let behaviour = *lock(&self.behaviour);
-        if behaviour.rate > 0.0
-            && let Ok(rate) = HeaderValue::from_str(&behaviour.rate.to_string())
+        let mut rate = behaviour.rate;
+        if let Some(period) = &mut *lock(&self.rate_period) {
+            period.named_at.get_or_insert_with(Instant::now);
+            rate = period.rate;
+        }
+        if rate > 0.0
+            && let Ok(rate) = HeaderValue::from_str(&rate.to_string())
         {
             headers.insert(TARGET_RATE_HEADER, rate);
         }
--- a/tests/test_soak.rs
+++ b/tests/test_soak.rs
@@ -11,8 +11,11 @@
     AcceptedChange, CHECK_NAMES, ConfigSample, Observations, PlannedStop, RequestRecord, violations,
 };
 use tarragoncourse::soak::schedule::{Event, Fault, generate_schedule};
+use tarragoncourse::standin::target::RatePeriod;
 use tokio::time::Instant;
 
+const MS_10: Duration = Duration::from_millis(10);
+
 fn request_record(id: &str, result: CallerResult) -> RequestRecord {
     let now = Instant::now();
     RequestRecord {
@@ -126,6 +129,15 @@
     });
     assert_violated(8, &|o| o.requests.clear());
     assert_violated(9, &|o| o.unfinished = 1);
+    assert_violated(10, &|o| {
+        let named_at = Instant::now();
+        let arrivals = (0..36u32).map(|n| named_at + Duration::from_millis(600) + n * MS_10);
+        o.rates.push(RatePeriod {
+            rate: 20.0,
+            named_at: Some(named_at),
+            arrivals: arrivals.collect(),
+        });
+    });
     violated.dedup();
     assert_eq!(violated, CHECK_NAMES);
 }
@@ -142,7 +154,7 @@
         .flat_map(|seed| generate_schedule(seed, 6, duration))
         .collect();
     let kinds: HashSet<_> = events.iter().map(|e| e.event.name()).collect();
-    assert_eq!(kinds.len(), 10, "{kinds:?}");
+    assert_eq!(kinds.len(), 11, "{kinds:?}");
     let stops = events
         .iter()
         .filter(|e| matches!(e.event, Event::Fault(Fault::Stop(_))));
