--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -33,6 +33,7 @@
     match run(usage, start) {
         Ok(code) => code,
         Err(e) => {
+            logging::flush();
             eprintln!("{name}: {e:#}");
             ExitCode::from(1)
         }
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -1,6 +1,7 @@
 //! The operators' HTTP API: configuration changes and reads, status, state dump, metrics, and the
 //! liveness and readiness probes.
 
+use std::io;
 use std::sync::Arc;
 
 use gotham::helpers::http::Body;
@@ -329,10 +330,13 @@
 
 async fn read_json<T: for<'de> Deserialize<'de>>(body: Body) -> Result<T, Response<Body>> {
     let bad_request = |message: String| text_response(StatusCode::BAD_REQUEST, message);
-    let bytes = read_body(body, CHANGE_MAX_BYTES).await.map_err(|_| {
-        bad_request(format!(
-            "the change request exceeds {CHANGE_MAX_BYTES} bytes; split it\n"
-        ))
+    let bytes = read_body(body, CHANGE_MAX_BYTES).await.map_err(|e| {
+        bad_request(match e.kind() {
+            io::ErrorKind::FileTooLarge => {
+                format!("the change request exceeds {CHANGE_MAX_BYTES} bytes; split it\n")
+            }
+            _ => format!("the change request is incomplete: {e}; send it again\n"),
+        })
     })?;
     serde_json::from_slice(&bytes)
         .map_err(|e| bad_request(format!("invalid change request: {e}\n")))
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -330,7 +330,14 @@
         self.execute(actions);
         if snapshot.version().0.is_multiple_of(SNAPSHOT_INTERVAL) {
             let (node, snapshot) = (self.clone(), snapshot.clone());
-            tokio::spawn(async move { node.write_snapshot(&snapshot).await });
+            tokio::spawn(async move {
+                if let Err(e) = node.write_snapshot(&snapshot).await {
+                    log::warn!(
+                        "snapshot not written; nodes read the changes since the one before version={} error={e}",
+                        snapshot.version()
+                    );
+                }
+            });
         }
     }
 
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -465,7 +465,9 @@
     /// The first port to try depends on the seed and the process id, so that parallel runs rarely
     /// try the same ports.
     fn new(seed: u64) -> PortAllocator {
-        let offset = seed.wrapping_mul(997) + u64::from(std::process::id()) * 61;
+        let offset = seed
+            .wrapping_mul(997)
+            .wrapping_add(u64::from(std::process::id()) * 61);
         PortAllocator {
             next: (offset % u64::from(PORT_COUNT)) as u16,
         }
