Do not use a connection beyond the idle time that its target names

What callers saw: an order sent on a connection that its target had given up was lost (502), although each answer had named the idle time.

Cause: the pool keeps idle connections for 2 s, whatever `Keep-Alive: timeout` says.

Fix: a connection whose target names 2 s or less is not used again; longer times are within the pool's.

Result: a_connection_is_not_used_after_the_idle_time_that_its_target_named failed before (502 at the second order) and passes.

--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -17,11 +17,13 @@
 use tokio::time::{Instant, Sleep};
 
 use super::body::{RESPONSE_BUFFER_MAX_BYTES, buffer_short_response};
-use super::{Node, lock, unix_millis};
+use super::{Node, TARGET_IDLE_TIMEOUT, lock, unix_millis};
 use crate::coordination::gate::{Admission, AdmissionRequest, Gate, GateAction, GateActions};
 use crate::coordination::outcome::{NotRun, OUTCOME_HEADER, Outcome, UnknownReason};
 use crate::node::config::LocalTarget;
-use crate::protocol::dialect::{Dialect, ResponseKind, TargetHop, remove_attempts_left};
+use crate::protocol::dialect::{
+    Dialect, ResponseKind, TargetHop, keep_alive_timeout, remove_attempts_left,
+};
 use crate::protocol::headers::{AttemptContext, BACKLOG_HEADER, INTERNAL_HEADERS, LOAD_HEADER};
 use crate::state::id::AttemptId;
 use crate::state::member::TargetStart;
@@ -245,7 +247,10 @@
             if kind.is_from_target() {
                 self.handle_notice(&sent_to, dialect.target_notice(&parts.headers));
             }
-            if !dialect.has_echo(&parts.headers, echo.as_ref()) {
+            // The pool would keep the connection for longer than the target does.
+            let expires_early =
+                keep_alive_timeout(&parts.headers).is_some_and(|t| t <= TARGET_IDLE_TIMEOUT);
+            if expires_early || !dialect.has_echo(&parts.headers, echo.as_ref()) {
                 connection.discard();
             }
             if kind == ResponseKind::Stray {
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -203,6 +203,26 @@
     }
 }
 
+/// How long the sender of a response keeps an idle connection, if the response says so (the
+/// `timeout` parameter of `Keep-Alive`, in seconds).
+///
+/// ```
+/// use std::time::Duration;
+/// use http::HeaderMap;
+/// use tarragoncourse::protocol::dialect::keep_alive_timeout;
+/// let mut headers = HeaderMap::new();
+/// headers.insert("keep-alive", "max=100, timeout=5".parse().unwrap());
+/// assert_eq!(keep_alive_timeout(&headers), Some(Duration::from_secs(5)));
+/// ```
+pub fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let parameters = headers.get("keep-alive")?.to_str().ok()?.split(',');
+    let pairs = parameters.filter_map(|p| p.trim().split_once('='));
+    let (_, seconds) = pairs
+        .into_iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
 /// Whether a header is present with the value `1`.
 pub fn header_is_set(headers: &HeaderMap, name: &str) -> bool {
     headers
