Wait for the pace only while the pace is closed

What would be seen: a node at full processor time while a bulk transfer waits for a slot of its class and its target names a rate. Found by reading the diff; the loop slept for zero time and dispatched nothing. Besides, an attempt that was queued just before a token was due could wait for the next event.

Fix: pace_delay is none while the pace is open, and the loop dispatches before it decides how long to wait, under one lock.

Result: an_attempt_that_waits_for_a_slot_does_not_wait_for_the_pace failed before (a delay of 0 ns) and passes.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -219,12 +219,12 @@
         })
     }
 
-    /// Time until a queued attempt may be sent, if only the pace delays it; `None` if the queue is
-    /// empty or no slot is free.
+    /// Time until the pace allows a queued attempt to be sent; `None` if something else delays it,
+    /// such as a missing slot, or if the queue is empty.
     pub fn pace_delay(&self, now: Instant) -> Option<Duration> {
-        let waits_for_pace = !self.queue.is_empty() && self.running < self.limit();
-        let pace = self.pacer.pace(now).filter(|_| waits_for_pace)?;
-        Some(pace.delay(0))
+        let slot_is_free = self.running < self.limit();
+        let pace = self.pacer.pace(now).filter(|p| !p.is_open())?;
+        (slot_is_free && !self.queue.is_empty()).then(|| pace.delay(0))
     }
 
     /// Sends the queued attempts that the pace allows by now.
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -144,15 +144,17 @@
     /// Sends queued attempts to a target that names a rate, when the rate allows.
     pub(super) async fn pace_loop(self: Arc<Self>) {
         loop {
-            let delay = lock(&self.gate).gate.pace_delay(Instant::now());
-            let Some(delay) = delay else {
-                self.pace_wake.notified().await;
-                continue;
+            let delay = {
+                let mut state = lock(&self.gate);
+                let now = Instant::now();
+                let actions = state.gate.run_due(now);
+                state.notify_waiters(actions);
+                state.gate.pace_delay(now)
             };
-            tokio::time::sleep(delay).await;
-            let mut state = lock(&self.gate);
-            let actions = state.gate.run_due(Instant::now());
-            state.notify_waiters(actions);
+            match delay {
+                Some(delay) => tokio::time::sleep(delay).await,
+                None => self.pace_wake.notified().await,
+            }
         }
     }
 
--- a/tests/test_pace.rs
+++ b/tests/test_pace.rs
@@ -143,6 +143,24 @@
     assert_eq!(gate.pace_delay(due), None);
 }
 
+/// Guards against a loop without a pause: a bulk transfer that waits for a slot of its class while the
+/// pace is open is not waiting for the pace.
+#[test]
+fn an_attempt_that_waits_for_a_slot_does_not_wait_for_the_pace() {
+    let now = Instant::now();
+    let mut gate = Gate::new(Incarnation(1), 4);
+    gate.set_rate(Some(rate(40.0)), now);
+    let due = now + Duration::from_secs(1);
+    let bulk = |n| AdmissionRequest {
+        class: Class::Bulk,
+        ..request(n, due)
+    };
+    // Bulk transfers may use two of the four slots.
+    let admitted: Vec<Admission> = (1..=3).map(|n| gate.admit(bulk(n), due).0).collect();
+    assert_eq!(admitted, [Admission::Run, Admission::Run, Admission::Wait]);
+    assert_eq!(gate.pace_delay(due), None);
+}
+
 #[test]
 fn a_rate_that_changes_keeps_the_tokens_of_the_time_before() {
     let now = Instant::now();
