Ignore notices of another start; wake the pace only while a rate is named

A late answer of a process that left would have replaced the notices of the one after it; each ended request woke the pace task, also without a rate.

Result: notices_end_with_the_start_of_the_target_that_gave_them checks the late answer (it named the rate and the leave before).

--- a/src/coordination/notice.rs
+++ b/src/coordination/notice.rs
@@ -59,7 +59,7 @@
 
 impl TargetNotices {
     /// Processes an answer, read at `now`, to a request that was sent to this start of the target
-    /// at `sent_at`.
+    /// at `sent_at`. An answer of another start than the current one changes nothing.
     ///
     /// ```
     /// use tarragoncourse::coordination::notice::{
@@ -83,7 +83,9 @@
         sent_at: Instant,
         now: Instant,
     ) -> NoticeChange {
-        self.set_start(start);
+        if self.start.get_or_insert_with(|| start.clone()) != start {
+            return NoticeChange::None;
+        }
         match notice.rate {
             RateNotice::Named(rate) => {
                 self.rate = Some(rate);
@@ -105,7 +107,7 @@
         }
     }
 
-    /// Forgets the notices of an earlier start of the target.
+    /// Sets the current start of the target, and forgets the notices of an earlier one.
     pub fn set_start(&mut self, start: &TargetStart) {
         if self.start.as_ref() != Some(start) {
             *self = TargetNotices {
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -113,8 +113,9 @@
         state.gate.abandon(self.attempt);
         let actions = state.gate.finish(self.attempt, self.outcome, now);
         state.notify_waiters(actions);
-        drop(state);
-        self.node.pace_wake.notify_one();
+        if state.gate.rate().is_some() {
+            self.node.pace_wake.notify_one();
+        }
     }
 }
 
@@ -185,7 +186,9 @@
                 Admission::Wait => {
                     let (send, decision) = oneshot::channel();
                     state.waiters.insert(request.attempt, send);
-                    self.pace_wake.notify_one();
+                    if state.gate.rate().is_some() {
+                        self.pace_wake.notify_one();
+                    }
                     Some(decision)
                 }
             };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -126,7 +126,7 @@
     /// What the local target says about itself in its answers.
     target_notices: Mutex<TargetNotices>,
     gate: Mutex<gate::GateState>,
-    /// Notified when an attempt was queued or has ended at the gate.
+    /// Notified when an attempt was queued or has ended while the target names a rate.
     pace_wake: Notify,
     target_health: Mutex<TargetHealth>,
     /// Schedule of large bodies on this instance's network link, or `None` if the link rate is not
--- a/tests/test_pace.rs
+++ b/tests/test_pace.rs
@@ -256,4 +256,10 @@
     assert!(notices.is_leaving());
     notices.set_start(&("a".into(), 2000));
     assert_eq!((notices.rate(), notices.is_leaving()), (None, false));
+    // An answer of the process that left arrives late.
+    assert_eq!(
+        notices.handle_answer(&start, leaving, now + ms(3), now + ms(4)),
+        NoticeChange::None
+    );
+    assert_eq!((notices.rate(), notices.is_leaving()), (None, false));
 }
