Fuzz named rates at the gate

Change: the stateful fuzz lets the target name rates of 0 to 39.9 a second, or none, beside voids, replays, restarts and pauses, and checks each window of a second, and that no attempt waits that may be sent.

--- a/tests/fuzz_gate.rs
+++ b/tests/fuzz_gate.rs
@@ -17,6 +17,7 @@
 use tarragoncourse::coordination::queue::WorkKind;
 use tarragoncourse::state::id::{AttemptId, Incarnation};
 use tarragoncourse::state::object::Class;
+use tarragoncourse::state::rate::RequestRate;
 use tokio::time::Instant;
 
 const SLOTS: u32 = 4;
@@ -51,6 +52,10 @@
     /// Attempts that were reported to their sender as not run.
     not_run: HashSet<AttemptId>,
     all_sent: Vec<SentAttempt>,
+    /// The rate that the target names, in requests per second.
+    rate: Option<f64>,
+    /// When attempts were sent to the target since it has named this rate.
+    paced: Vec<Instant>,
 }
 
 impl Model {
@@ -68,9 +73,36 @@
             started: HashSet::new(),
             not_run: HashSet::new(),
             all_sent: Vec::new(),
+            rate: None,
+            paced: Vec::new(),
         }
     }
 
+    /// Lets the target name a rate, or none.
+    fn set_rate(&mut self, u: &mut Unstructured) {
+        self.rate = chance(u, 70).then(|| number_below(u, 400) as f64 / 10.0);
+        self.paced.clear();
+        let rate = self.rate.and_then(RequestRate::from_per_second);
+        self.gate.set_rate(rate, self.now);
+    }
+
+    /// Checks that no more attempts than the rate and its burst were sent within a second.
+    fn check_rate(&mut self) {
+        let Some(rate) = self.rate else {
+            return;
+        };
+        self.paced.push(self.now);
+        let window_start = self.now.checked_sub(Duration::from_secs(1));
+        let in_window = |at: &&Instant| window_start.is_none_or(|start| **at > start);
+        let sent = self.paced.iter().filter(in_window).count() as f64;
+        let rate = rate.max(0.5);
+        let allowed = rate + (rate / 4.0).max(1.0) + 1.0;
+        assert!(
+            sent <= allowed,
+            "{sent} attempts in a second at {rate} per second"
+        );
+    }
+
     fn send(&mut self, u: &mut Unstructured) {
         self.last_attempt += 1;
         let sent = SentAttempt {
@@ -124,6 +156,7 @@
             self.at_target.len() <= SLOTS as usize,
             "more attempts at the target than slots"
         );
+        self.check_rate();
     }
 
     fn record_not_run(&mut self, attempt: AttemptId) {
@@ -201,6 +234,7 @@
         self.gate = Gate::new(self.incarnation, SLOTS);
         self.waiting.clear();
         self.at_target.clear();
+        self.rate = None;
     }
 
     /// Expires the waiting attempts whose deadline has passed, and compares the gate's queue and
@@ -208,6 +242,14 @@
     fn expire_and_check(&mut self) {
         let actions = self.gate.expire(self.now);
         self.handle_actions(actions);
+        let actions = self.gate.run_due(self.now);
+        self.handle_actions(actions);
+        let delay = self.gate.pace_delay(self.now);
+        assert_ne!(
+            delay,
+            Some(Duration::ZERO),
+            "an attempt waits although it may be sent"
+        );
         let expired = self.waiting.values().filter(|s| s.deadline <= self.now);
         assert_eq!(expired.count(), 0, "an attempt waits beyond its deadline");
         assert_eq!(self.gate.waiting(), self.waiting.len());
@@ -215,7 +257,8 @@
     }
 }
 
-/// Applies a random event: an attempt, a delivery, an end, a void, a restart or elapsed time.
+/// Applies a random event: an attempt, a delivery, an end, a void, a restart, a named rate or elapsed
+/// time.
 fn apply_random_event(model: &mut Model, u: &mut Unstructured, counts: &mut Counts) {
     match number_below(u, 100) {
         0..=29 => model.send(u),
@@ -239,6 +282,10 @@
             counts.add("long pause");
             model.now += Duration::from_secs(number_below(u, 100) as u64);
         }
+        90..=91 => {
+            counts.add("rate");
+            model.set_rate(u);
+        }
         _ => model.now += Duration::from_millis(number_below(u, 300) as u64),
     }
     model.expire_and_check();
