Report what an earlier attempt may have done, not only the last one

What callers saw: a lookup that had run was answered 503, not-run; deadline. Requests that must not repeat are not concerned: they are not tried again after unknown.

Cause: run_attempts returned the outcome of the last attempt.

Fix: an earlier unknown outcome goes before a later not-run.

--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -222,6 +222,8 @@
         let mut tried: SmallVec<[SocketAddr; 4]> = SmallVec::new();
         let mut min_backlog: Option<Duration> = None;
         let mut last_outcome = None;
+        // The outcome of an earlier attempt that may have run.
+        let mut unknown_outcome = None;
         loop {
             // Timers do not advance while the instance is suspended.
             call.subtract_suspended_time();
@@ -247,6 +249,9 @@
                 false => trace.bounced += 1,
             }
             last_outcome = Some(outcome);
+            if matches!(outcome, Outcome::Unknown(_)) {
+                unknown_outcome = Some(outcome);
+            }
             let context = RetryContext {
                 idempotent,
                 replayable: call.body.is_replayable(),
@@ -257,6 +262,8 @@
             };
             match self.decide_retry(outcome, context, &call.service) {
                 RetryDecision::Finish => {
+                    // That the last attempt did not run says nothing about the earlier ones.
+                    let outcome = unknown_outcome.unwrap_or(outcome);
                     let slack = call.objective.map_or(Duration::ZERO, |o| {
                         o.saturating_duration_since(Instant::now()) / 2
                     });
