Open a restarted gate with the first peer's table, or after 1.5 s

Cause: the wait for the history ended only with the first join round; when the slots' holders restart as well, that round gets no reply, and later exchanges were not counted.

Fix: any table that a peer sends ends the wait, and it lasts 1.5 s at most: survivors probe a restarted node about once a second, and remind it then. A reminder that comes later still shuts the gate.

--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -41,7 +41,7 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time after the start for which the gate stays closed because no peer has told what an
 /// earlier process at this address published.
-const HISTORY_WAIT_MAX: Duration = Duration::from_secs(3);
+const HISTORY_WAIT_MAX: Duration = Duration::from_millis(1500);
 /// Longest interval between comparisons of a joined node's member table with the watcher slots.
 const REJOIN_INTERVAL_MAX: Duration = Duration::from_secs(10);
 /// Shortest interval between these comparisons: just after joining, and while the table grows or
@@ -108,7 +108,7 @@
         // A slot of this address was acquired by an earlier process, which peers may remember.
         let is_first_node = slots.is_ok() && candidates.is_empty();
         let peers = self.join_peers(candidates).await;
-        if is_first_node || peers.1 > 0 {
+        if is_first_node {
             self.history_known.store(true, Ordering::Release);
         }
         let head = self.platform_version().await;
@@ -186,6 +186,7 @@
         let version = match reply {
             PeerReply::Table(records, version) => {
                 self.merge_members(&records);
+                self.history_known.store(true, Ordering::Release);
                 version
             }
             PeerReply::Versions(active, newest_known) => active.max(newest_known),
