Do not reuse a connection whose target may not have read the body

Cause: the HTTP library gives a connection back to the pool once the body is written to the socket, read or not.

Fix: after an answer that is no success to a request with a body, the connection is not used again.

--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -239,6 +239,7 @@
         dialect.set_target_headers(request.headers_mut(), hop);
         let echo = dialect.echo_header(request.headers());
         let request_id = dialect.request_id(request.headers()).to_string();
+        let has_body = !request.body().is_end_stream();
         // From here on, the target may receive the request, so the outcome is indeterminate until a
         // response arrives.
         guard.outcome = Outcome::Unknown(UnknownReason::TargetBroken);
@@ -255,7 +256,13 @@
             // The pool would keep the connection for longer than the target does.
             let expires_early =
                 keep_alive_timeout(&parts.headers).is_some_and(|t| t <= TARGET_IDLE_TIMEOUT);
-            if expires_early || !dialect.has_echo(&parts.headers, echo.as_ref()) {
+            // A target may reject a request before it has read the body. The next request on this
+            // connection would wait until it has.
+            let may_have_unread_body = has_body && !parts.status.is_success();
+            if expires_early
+                || may_have_unread_body
+                || !dialect.has_echo(&parts.headers, echo.as_ref())
+            {
                 connection.discard();
             }
             if kind == ResponseKind::Stray {
