Count and log the calls to the platform by operation

Change: CountedPlatform wraps the platform of a node; counter tarragon_platform_calls by operation, a log line a call.

--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::coordination::outcome::Outcome;
 use crate::state::object::Class;
+use crate::transport::counted::CallCounters;
 use crate::transport::link::ExchangeBytes;
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -46,6 +47,7 @@
     control_messages: Family<ControlLabels, Counter>,
     retries: Counter,
     voids: Family<NameLabel, Counter>,
+    platform_calls: CallCounters,
     gauges: Family<NameLabel, Gauge<f64, AtomicU64>>,
 }
 
@@ -59,6 +61,7 @@
             control_messages: Family::default(),
             retries: Counter::default(),
             voids: Family::default(),
+            platform_calls: CallCounters::default(),
             gauges: Family::default(),
             registry: Registry::default(),
         };
@@ -94,6 +97,11 @@
             "Voids asked after broken links, by answer",
             metrics.voids.clone(),
         );
+        r.register(
+            "platform_calls",
+            "Calls to the platform's key-value service by operation",
+            metrics.platform_calls.clone(),
+        );
         r.register(
             "level",
             "State of the node, by name",
@@ -161,6 +169,11 @@
         self.voids.get_or_create(&NameLabel { name: result }).inc();
     }
 
+    /// Returns the counters of the calls to the platform.
+    pub fn platform_calls(&self) -> CallCounters {
+        self.platform_calls.clone()
+    }
+
     /// Sets the given gauges by name, and encodes all metrics as OpenMetrics text.
     pub fn encode(&self, gauges: &[(&'static str, f64)]) -> String {
         for (name, value) in gauges {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -66,6 +66,7 @@
 use crate::state::snapshot::{Delta, Snapshot};
 use crate::transport::client::HttpClient;
 use crate::transport::clock::read_clocks;
+use crate::transport::counted::CountedPlatform;
 use crate::transport::platform::Platform;
 
 use body::BodyBuffer;
@@ -115,7 +116,7 @@
     settings: NodeSettings,
     addresses: Addresses,
     fleet_key: FleetKey,
-    platform: P,
+    platform: CountedPlatform<P>,
     started: Instant,
     routing: ArcSwap<RoutingTable>,
     members: Mutex<Members>,
@@ -184,9 +185,10 @@
             sealer: DatagramSealer::new(fleet_key.clone(), addresses.peers, incarnation),
             budget: ByteBudget::new(now),
         };
+        let metrics = Metrics::default();
         let node = Node {
             addresses,
-            platform,
+            platform: CountedPlatform::new(platform, metrics.platform_calls()),
             started: now,
             routing: ArcSwap::from_pointee(RoutingTable::default()),
             members: Mutex::new(Members::new(own, now, rng.fork())),
@@ -211,7 +213,7 @@
             pull_permits: Semaphore::new(CONCURRENT_PULLS_MAX),
             join_permits: Semaphore::new(CONCURRENT_JOINS_MAX),
             body_buffer: BodyBuffer::new(settings.replay_body),
-            metrics: Metrics::default(),
+            metrics,
             ready: AtomicBool::new(false),
             history_known: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod clock;
+pub mod counted;
 pub mod graceful;
 pub mod http;
 pub mod kv;
