Join past silent peers

Cause: a joining node asked the known holders of slots one after another, 5 s each, until three had replied. After a loss of power most are silent. Change: the next peer is asked after 200 ms of silence, holders of the own zone first; one reply suffices if the rest are silent. The sample of versions is asked for at the same time instead of in turn.

--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use super::{Node, lock};
@@ -16,12 +17,14 @@
 use crate::state::id::Version;
 use crate::state::member::MemberRecord;
 use crate::transport::link::send_request;
-use crate::transport::platform::Platform;
+use crate::transport::platform::{Platform, Value};
 
 /// Number of replies after which a join round stops contacting peers.
 const ROUND_REPLIES: usize = 3;
 /// Limit on the peers contacted in a join round.
 const ROUND_PEERS_MAX: usize = 16;
+/// Time for which a contacted peer may be silent before the next one is contacted as well.
+const SILENT_PEER_DELAY: Duration = Duration::from_millis(200);
 /// Timeout of a member table exchange with a peer.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest upper bound of the random delay between join rounds.
@@ -101,10 +104,9 @@
     /// configuration. Returns whether the node has an up-to-date configuration.
     async fn join_round(self: &Arc<Self>) -> bool {
         let slots = self.platform.list(SLOT_PREFIX).await;
-        let holders = slots.iter().flatten();
-        let holders = holders.filter_map(|(_, v)| decode_slot(&v.text));
-        let mut candidates: Vec<SocketAddr> = holders.collect();
-        candidates.extend(&self.settings.peers);
+        let mut candidates = self.settings.peers.clone();
+        fastrand::shuffle(&mut candidates);
+        candidates.extend(self.slot_holders(slots.as_deref().unwrap_or_default()));
         // A slot of this address was acquired by an earlier process, which peers may remember.
         let is_first_node = slots.is_ok() && candidates.is_empty();
         let peers = self.join_peers(candidates).await;
@@ -115,6 +117,17 @@
         self.wait_for_version(RoundResult { head, peers }).await
     }
 
+    /// Returns the holders of the watcher slots in random order, those in this node's zone last,
+    /// which are contacted first.
+    fn slot_holders(&self, slots: &[(String, Value)]) -> Vec<SocketAddr> {
+        let own_zone = format!("{SLOT_PREFIX}{}/", self.settings.zone);
+        let mut slots: Vec<_> = slots.iter().collect();
+        fastrand::shuffle(&mut slots);
+        slots.sort_by_key(|(key, _)| key.starts_with(&own_zone));
+        let holders = slots.iter().map(|(_, value)| decode_slot(&value.text));
+        holders.flatten().collect()
+    }
+
     /// Returns the newest version in the platform, or `None` if the platform did not respond.
     async fn platform_version(&self) -> Option<Version> {
         // Reading the operator's document makes the node ready, so a node that is not ready has not
@@ -129,28 +142,39 @@
     /// Contacts a few peers: learns the member table from them, and returns the newest version that
     /// they know and the number of replies. A busy peer suggests others, so that the load of many
     /// nodes that join at the same time spreads over the fleet.
+    ///
+    /// One peer is contacted after the other, since the first reply contains the whole table. While
+    /// a peer is silent, for example because its instance has lost power, the next one is contacted
+    /// as well.
     pub(super) async fn join_peers(
         self: &Arc<Self>,
         mut candidates: Vec<SocketAddr>,
     ) -> (Version, usize) {
-        fastrand::shuffle(&mut candidates);
         let (mut newest, mut replies, mut contacted) = (Version(0), 0, 0);
         let mut seen = HashSet::from([self.addresses.peers]);
-        while let Some(peer) = candidates.pop() {
-            if !seen.insert(peer) {
-                continue;
+        let mut contacts = JoinSet::new();
+        while replies < ROUND_REPLIES {
+            let next = match contacted < ROUND_PEERS_MAX {
+                true => next_unseen(&mut candidates, &mut seen),
+                false => None,
+            };
+            if let Some(peer) = next {
+                contacted += 1;
+                let node = self.clone();
+                contacts.spawn(async move { node.contact_peer(peer).await });
+            } else if contacts.is_empty() {
+                break;
             }
-            contacted += 1;
-            match self.contact_peer(peer).await {
-                ContactResult::Version(version) => {
+            match tokio::time::timeout(SILENT_PEER_DELAY, contacts.join_next()).await {
+                Ok(Some(Ok(ContactResult::Version(version)))) => {
                     newest = newest.max(version);
                     replies += 1;
                 }
-                ContactResult::Busy(others) => candidates.extend(others),
-                ContactResult::NoReply => {}
-            }
-            if replies == ROUND_REPLIES || contacted == ROUND_PEERS_MAX {
-                break;
+                Ok(Some(Ok(ContactResult::Busy(others)))) => candidates.extend(others),
+                Ok(Some(Ok(ContactResult::NoReply) | Err(_)) | None) => {}
+                // The peers that have replied suffice.
+                Err(_) if next.is_none() && replies > 0 => break,
+                Err(_) => {}
             }
         }
         (newest, replies)
@@ -247,25 +271,30 @@
     /// Returns the newest version that a larger sample of the fleet knows. Waits first, so that a
     /// version that is still being propagated can reach the sample; no new versions are accepted
     /// while the platform is down.
-    async fn newest_sampled_version(&self) -> Version {
+    async fn newest_sampled_version(self: &Arc<Self>) -> Version {
         tokio::time::sleep(SETTLE_TIME).await;
         let peers = lock(&self.members).sample_peers(SAMPLE_PEERS);
         let mut newest = lock(&self.distribution).newest_known();
+        let mut requests = JoinSet::new();
         for peer in peers {
-            let reply = send_request(
-                &self.fleet_key,
-                peer,
-                &PeerRequest::Versions,
-                VERSION_TIMEOUT,
-            )
-            .await;
-            if let Ok((PeerReply::Versions(active, newest_known), _)) = reply {
-                newest = newest.max(active).max(newest_known);
-            }
+            let node = self.clone();
+            requests.spawn(async move { node.request_newest(peer).await });
+        }
+        while let Some(reply) = requests.join_next().await {
+            newest = newest.max(reply.ok().flatten().unwrap_or_default());
         }
         newest
     }
 
+    /// Returns the newest version that a peer knows, or `None` if it does not reply.
+    async fn request_newest(&self, peer: SocketAddr) -> Option<Version> {
+        let request = PeerRequest::Versions;
+        match send_request(&self.fleet_key, peer, &request, VERSION_TIMEOUT).await {
+            Ok((PeerReply::Versions(active, newest_known), _)) => Some(active.max(newest_known)),
+            _ => None,
+        }
+    }
+
     /// Compares the member table with the holders of the watcher slots from time to time. Watchers
     /// do so to merge the parts of a fleet after a partition. A node that knows no other node does
     /// so too, because all nodes may have started at the same moment, before any of them had
@@ -292,10 +321,15 @@
     /// table.
     async fn join_slot_holders(self: &Arc<Self>) {
         let slots = self.platform.list(SLOT_PREFIX).await;
-        let holders = slots.iter().flatten();
-        let mut candidates: Vec<SocketAddr> =
-            holders.filter_map(|(_, v)| decode_slot(&v.text)).collect();
-        candidates.extend(&self.settings.peers);
+        self.join_holders(slots.as_deref().unwrap_or_default())
+            .await;
+    }
+
+    /// Joins the holders of the given watcher slots and the configured peers that are not in the
+    /// member table.
+    pub(super) async fn join_holders(self: &Arc<Self>, slots: &[(String, Value)]) {
+        let mut candidates = self.settings.peers.clone();
+        candidates.extend(self.slot_holders(slots));
         candidates.retain(|p| !self.knows_live_peer(p));
         self.join_peers(candidates).await;
     }
@@ -310,6 +344,19 @@
     }
 }
 
+/// Removes candidates until one was not seen before, and returns that one.
+fn next_unseen(
+    candidates: &mut Vec<SocketAddr>,
+    seen: &mut HashSet<SocketAddr>,
+) -> Option<SocketAddr> {
+    while let Some(peer) = candidates.pop() {
+        if seen.insert(peer) {
+            return Some(peer);
+        }
+    }
+    None
+}
+
 /// Sleeps for a random time of at most `max`.
 async fn sleep_random_up_to(max: Duration) {
     tokio::time::sleep(max.mul_f64(fastrand::f64())).await;
