Let few nodes of a starting fleet try to acquire a slot

Cause: without any holder each node takes itself for the first of its zone: lease, write, revocation and read, every 2 s until the tables fill. Change: a random delay of up to 1 s before the first attempt, a look at the slots before it, listing with reads that may be old, and no watch by others than holders within the first 2 s.

--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -10,12 +10,15 @@
 use super::{Node, lock};
 use crate::coordination::distribution::Actions;
 use crate::coordination::watcher_slot::{LEASE_TTL, SlotStep};
-use crate::protocol::record::{HEAD_KEY, decode_head, decode_slot, encode_slot, slot_key};
+use crate::protocol::record::{HEAD_KEY, SLOT_PREFIX, decode_head, encode_slot, slot_key};
 use crate::state::id::Version;
 use crate::transport::platform::{DocumentUpdate, Platform, PlatformError, PlatformResult, Value};
 
 /// Mean interval between checks of the watcher slots.
 const SLOT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Upper bound of the random delay before the first attempt to acquire a slot. When a whole fleet
+/// starts, the first nodes acquire the slots, and the others find them taken.
+const FIRST_SLOT_DELAY_MAX: Duration = Duration::from_secs(1);
 /// Timeout of one watch on the head.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of one watch on the operator's document. It bounds the time until a silently broken
@@ -27,12 +30,15 @@
 const DOCUMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Up to this fleet size, every node watches the document itself.
 const WATCH_ALL_MAX_NODES: usize = 16;
+/// Time after the start within which a node learns the size of the fleet.
+const JOIN_TIME: Duration = Duration::from_secs(2);
 /// Mean delay after a failed watch on the head.
 const WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 impl<P: Platform> Node<P> {
     /// Acquires, renews and releases watcher slots while the node is ready.
     pub(super) async fn slot_loop(self: Arc<Self>) {
+        tokio::time::sleep(FIRST_SLOT_DELAY_MAX.mul_f64(fastrand::f64())).await;
         loop {
             tokio::time::sleep(SLOT_CHECK_INTERVAL.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
             if !self.is_ready() || self.is_leaving() {
@@ -40,7 +46,7 @@
             }
             match self.slot_step() {
                 SlotStep::Idle => {}
-                SlotStep::Acquire(number) => self.acquire_slot(number).await,
+                SlotStep::Acquire(number) => self.try_acquire_slot(number).await,
                 SlotStep::Renew(lease) => self.renew_slot(lease).await,
                 SlotStep::Release(lease) => {
                     let _ = self.platform.revoke_lease(lease).await;
@@ -58,6 +64,17 @@
         lock(&self.watcher_slot).next_step(members.table(), &zone, peer, Instant::now())
     }
 
+    /// Acquires a watcher slot of this node's zone, unless another node holds it. In that case, joins
+    /// the holders that are missing from the member table.
+    async fn try_acquire_slot(self: &Arc<Self>, number: usize) {
+        let key = slot_key(&self.settings.zone, number);
+        match self.platform.list(SLOT_PREFIX).await {
+            Ok(slots) if slots.iter().any(|(k, _)| *k == key) => self.join_holders(&slots).await,
+            Ok(_) => self.acquire_slot(number).await,
+            Err(e) => log::info!("watcher slots not read: {e}"),
+        }
+    }
+
     /// Tries to acquire a watcher slot of this node's zone under a new lease.
     async fn acquire_slot(self: &Arc<Self>, number: usize) {
         let requested_at = Instant::now();
@@ -75,25 +92,13 @@
                 lock(&self.watcher_slot).record_acquired(number, lease, requested_at);
                 log::info!("watching slot={key}");
             }
-            result => {
+            // Another node was faster, or the slot may have been acquired without a response.
+            _ => {
                 let _ = self.platform.revoke_lease(lease).await;
-                if result == Ok(None) {
-                    self.join_holder(&key).await;
-                }
             }
         }
     }
 
-    /// Joins the holder of a slot that appeared to be free, if the holder is missing from the
-    /// member table.
-    async fn join_holder(self: &Arc<Self>, key: &str) {
-        let value = self.platform.get(key).await.ok().flatten();
-        let holder = value.and_then(|v| decode_slot(&v.text));
-        if let Some(peer) = holder.filter(|p| !self.knows_live_peer(p)) {
-            self.join_peers(vec![peer]).await;
-        }
-    }
-
     /// Renews the lease of the slot. If the platform does not respond, the lease remains valid
     /// until it expires.
     async fn renew_slot(&self, lease: u64) {
@@ -210,8 +215,10 @@
     /// Returns whether this node watches the document itself. A node that is not ready always does,
     /// because it needs the document to become ready, whichever other nodes watch it.
     fn should_watch_document(&self) -> bool {
+        let in_small_fleet =
+            self.started.elapsed() >= JOIN_TIME && self.members_alive() <= WATCH_ALL_MAX_NODES;
         !self.is_ready()
-            || self.members_alive() <= WATCH_ALL_MAX_NODES
+            || in_small_fleet
             || lock(&self.watcher_slot).held(Instant::now()).is_some()
     }
 
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -105,7 +105,7 @@
     fn delete(&self, key: &str, expected: u64)
     -> impl Future<Output = PlatformResult<bool>> + Send;
 
-    /// Reads all keys with a prefix.
+    /// Reads all keys with a prefix. The result may be some seconds old.
     fn list(
         &self,
         prefix: &str,
