Gossip mostly within the availability zone

Cause: peers for gossip, probes, full comparisons of tables and relayed announcements were chosen from the whole fleet, so four of five messages of a fleet in five zones crossed zones.

--- a/src/coordination/members/gossip.rs
+++ b/src/coordination/members/gossip.rs
@@ -130,6 +130,9 @@
         if differing < FULL_SYNC_MIN_BUCKETS || now < self.next_full_sync {
             return;
         }
+        if !self.may_sync_with(peer) {
+            return;
+        }
         let extra_wait = Duration::from_secs((self.table.len() / SYNC_RECORDS_PER_SECOND) as u64);
         self.next_full_sync = now + DIGEST_PERIOD + extra_wait;
         self.sync_peer = Some(peer);
@@ -139,7 +142,7 @@
         if self.gossip.is_empty() {
             return;
         }
-        for peer in self.sample_peers(GOSSIP_FANOUT) {
+        for peer in self.sample_news_peers(GOSSIP_FANOUT) {
             let records = self.take_gossip();
             if records.is_empty() {
                 return;
--- a/src/coordination/members/mod.rs
+++ b/src/coordination/members/mod.rs
@@ -6,6 +6,7 @@
 //! suspects others.
 
 mod gossip;
+mod locality;
 mod probe;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/src/coordination/members/probe.rs
+++ b/src/coordination/members/probe.rs
@@ -239,8 +239,7 @@
     pub(super) fn next_probe_peer(&mut self) -> Option<SocketAddr> {
         loop {
             if self.probe_order.is_empty() {
-                self.probe_order = self.live_peers().to_vec();
-                self.rng.shuffle(&mut self.probe_order);
+                self.probe_order = self.probe_round();
             }
             let peer = self.probe_order.pop()?;
             let alive = |r: &Arc<MemberRecord>| r.health.is_alive();
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -33,7 +33,7 @@
 /// Random peers in this node's zone that a version from the platform is announced to, in addition
 /// to the ring neighbours.
 const ANNOUNCE_ZONE_PEERS: usize = 2;
-/// Random peers of any zone that a version is announced to.
+/// Random peers, mostly of the same zone, that a version is announced to.
 const ANNOUNCE_RANDOM_PEERS: usize = 1;
 /// Number of ring neighbours on each side that take part in announcements: the nearest receive
 /// them, and the others are fallbacks for announcements that are not acknowledged.
@@ -387,7 +387,7 @@
 fn relay_peers(members: &mut Members) -> Vec<SocketAddr> {
     let own = members.own_record();
     let mut peers = members.table().neighbours(&own.zone, &own.peer, 1);
-    peers.extend(members.sample_peers(ANNOUNCE_RANDOM_PEERS));
+    peers.extend(members.sample_news_peers(ANNOUNCE_RANDOM_PEERS));
     peers
 }
 
