Let another target take what one gate cannot answer in time

Cause: attempts that a gate removed because they would miss their objective or deadline there were refused as 'deadline', which is never tried again. Change: 'deadline' is left to attempts whose own time is too short; the others are 'queue-full', and another target is tried.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -365,7 +365,8 @@
     pub fn expire(&mut self, now: Instant) -> GateActions {
         let mut actions = self.refuse_expired(now);
         let too_late = self.queue.remove_too_late(self.capacity(now), now);
-        actions.extend(self.refuse_all(too_late, NotRun::Deadline));
+        // Another target may still answer them in time.
+        actions.extend(self.refuse_all(too_late, NotRun::QueueFull));
         actions
     }
 
--- a/src/coordination/outcome.rs
+++ b/src/coordination/outcome.rs
@@ -21,7 +21,7 @@
     /// The target accepts only a limited rate of requests, and the wait would be too long.
     #[display("rate-limited")]
     RateLimited,
-    /// The deadline passed in the gate's queue, or the gate expects that it would.
+    /// The deadline passed in the gate's queue, or leaves too little time for any target.
     #[display("deadline")]
     Deadline,
     /// The gate fenced the attempt before it was sent to the target.
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -235,7 +235,7 @@
             return QueueDecision::Refuse(NotRun::Deadline);
         }
         if now + wait >= attempt.deadline {
-            return QueueDecision::Refuse(expected.refusal(NotRun::Deadline));
+            return QueueDecision::Refuse(expected.refusal(NotRun::QueueFull));
         }
         if self.levels[level].len() >= capacity.limit.max(1) as usize * QUEUED_PER_SLOT_MAX {
             return QueueDecision::Refuse(NotRun::QueueFull);
--- a/tests/test_overload.rs
+++ b/tests/test_overload.rs
@@ -10,7 +10,10 @@
 };
 use tarragoncourse::coordination::outcome::{NotRun, Outcome};
 use tarragoncourse::coordination::queue::WorkKind;
-use tarragoncourse::coordination::retry::{RetryAllowance, RetryBudgets, retry_after};
+use tarragoncourse::coordination::retry::{
+    RetryAllowance, RetryBudget, RetryBudgets, RetryContext, RetryDecision, decide_retry,
+    retry_after,
+};
 use tarragoncourse::coordination::traffic_split::weighted_index;
 use tarragoncourse::state::id::{AttemptId, Incarnation, Path};
 use tarragoncourse::state::object::Class;
@@ -277,6 +280,67 @@
     );
 }
 
+/// A sustained overload at one target: an attempt that waited there until it could no longer meet its
+/// objective is refused, but may still be answered by another target before its deadline.
+#[test]
+fn an_attempt_that_waited_in_vain_may_be_sent_to_another_target() {
+    let ms = Duration::from_millis;
+    let mut now = Instant::now();
+    let mut gate = Gate::new(Incarnation(1), 1);
+    let mut id = 0;
+    let mut request = |now: Instant| {
+        id += 1;
+        AdmissionRequest {
+            attempt: AttemptId(id),
+            incarnation: Incarnation(1),
+            class: Class::Interactive,
+            kind: WorkKind {
+                priority: 1,
+                objective_ms: 300,
+            },
+            objective: Some(now + ms(300)),
+            age: Duration::ZERO,
+            deadline: now + ms(1000),
+        }
+    };
+    // The target has answered within 100 ms so far. Many requests are refused, so that the overload
+    // counts as sustained.
+    let first = request(now);
+    assert_eq!(gate.admit(first, now).0, Admission::Run);
+    now += ms(100);
+    gate.finish(first.attempt, Outcome::Answered, now);
+    gate.admit(request(now), now);
+    for _ in 0..60 {
+        gate.admit(request(now), now);
+    }
+    // The running attempt takes longer than expected.
+    let mut reasons = Vec::new();
+    for _ in 0..18 {
+        now += ms(50);
+        for action in gate.expire(now) {
+            if let GateAction::Refuse(_, reason) = action {
+                reasons.push(reason);
+            }
+        }
+    }
+    assert!(!reasons.is_empty(), "no attempt waited");
+    for reason in reasons {
+        let context = RetryContext {
+            idempotent: false,
+            replayable: true,
+            made: 0,
+            bounced: 1,
+            max_attempts: 2,
+            deadline: now + ms(600),
+        };
+        let mut rng = fastrand::Rng::with_seed(1);
+        let mut budget = RetryBudget::default();
+        let outcome = Outcome::NotRun(reason);
+        let decision = decide_retry(outcome, context, &mut budget, &mut rng, now);
+        assert!(matches!(decision, RetryDecision::Retry(_)), "{reason}");
+    }
+}
+
 #[test]
 fn services_are_selected_by_weight_within_40_consecutive_requests() {
     for from in [0u64, 17, 4000, 1 << 19] {
