Send a request again to a gate that names its new incarnation

Change: the refusal carries the gate's incarnation; the ingress sends the request once more to that one, under a new attempt id, and addresses later requests to it until the member table changes. Conclusion: evidence of the data path comes before news of the members.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,6 +18,7 @@
 pub mod pause;
 pub mod pick;
 pub mod queue;
+pub mod restarts;
 pub mod retry;
 pub mod traffic_split;
 pub mod transfer;
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -18,9 +18,9 @@
 use crate::coordination::queue::WorkKind;
 use crate::coordination::transfer::{LARGE_BODY_BYTES, TransferDecision};
 use crate::protocol::dialect::{Dialect, header_number};
-use crate::protocol::headers::{AttemptContext, BACKLOG_HEADER, LOAD_HEADER};
+use crate::protocol::headers::{AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, LOAD_HEADER};
 use crate::protocol::peer::{PeerReply, PeerRequest};
-use crate::state::id::{AttemptId, Path};
+use crate::state::id::{AttemptId, Incarnation, Path};
 use crate::state::object::{Class, Route};
 use crate::state::routing::{Candidate, RouteEntry, ServiceEntry};
 use crate::transport::client::SendError;
@@ -63,6 +63,8 @@
     /// No response of the target: the outcome, and the time after which the gate may have a free
     /// slot, if the gate reported one.
     Unanswered(Outcome, Option<Duration>),
+    /// The gate refused the attempt because its node has restarted: its current incarnation.
+    Restarted(Incarnation),
 }
 
 impl AttemptResult {
@@ -158,12 +160,41 @@
         Some((picked.clone(), guard))
     }
 
-    /// Sends one attempt to the gate of a target, or to the local gate. Returns the result, and
-    /// the feedback on the target for the picker.
+    /// Sends one attempt to a target. If the gate of the target has restarted, sends the request
+    /// once more, to its current incarnation. Returns the result, and the feedback on the target for
+    /// the picker.
     async fn forward(
         self: &Arc<Self>,
         call: &Call,
         target: &Candidate,
+    ) -> (AttemptResult, TargetFeedback) {
+        let recorded = target.incarnation;
+        let incarnation = lock(&self.peer_restarts).current(target.peer, recorded);
+        let (result, feedback) = self.forward_to(call, target, incarnation).await;
+        let AttemptResult::Restarted(current) = result else {
+            return (result, feedback);
+        };
+        log::info!(
+            "peer has restarted peer={} addressed={incarnation} current={current}",
+            target.peer
+        );
+        lock(&self.peer_restarts).record(target.peer, recorded, current);
+        let refused = AttemptResult::not_run(NotRun::Incarnation);
+        if !call.body.is_replayable() {
+            return (refused, feedback);
+        }
+        match self.forward_to(call, target, current).await {
+            (AttemptResult::Restarted(_), feedback) => (refused, feedback),
+            other => other,
+        }
+    }
+
+    /// Sends one attempt to an incarnation of the gate of a target, or to the local gate.
+    async fn forward_to(
+        self: &Arc<Self>,
+        call: &Call,
+        target: &Candidate,
+        incarnation: Incarnation,
     ) -> (AttemptResult, TargetFeedback) {
         let started = Instant::now();
         let is_bulk = call.route.route.class == Class::Bulk;
@@ -172,7 +203,7 @@
         let remaining = |at: Instant| at.saturating_duration_since(started);
         let context = AttemptContext {
             attempt: AttemptId(fastrand::u128(..)),
-            incarnation: target.incarnation,
+            incarnation,
             class: call.route.route.class,
             work_kind: work_kind(&call.route.route),
             objective_left: call.objective.map(remaining),
@@ -377,6 +408,13 @@
             }
         }
         Some(outcome) => {
+            let current = header_number(headers, INCARNATION_HEADER).map(Incarnation);
+            if let (Outcome::NotRun(NotRun::Incarnation), Some(current)) = (outcome, current) {
+                return (
+                    AttemptResult::Restarted(current),
+                    TargetFeedback::Refused(load),
+                );
+            }
             let feedback = match outcome {
                 Outcome::NotRun(NotRun::Unreachable)
                 | Outcome::Unknown(UnknownReason::TargetBroken) => TargetFeedback::Failed,
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -24,7 +24,9 @@
 use crate::protocol::dialect::{
     Dialect, ResponseKind, TargetHop, keep_alive_timeout, remove_attempts_left,
 };
-use crate::protocol::headers::{AttemptContext, BACKLOG_HEADER, INTERNAL_HEADERS, LOAD_HEADER};
+use crate::protocol::headers::{
+    AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, INTERNAL_HEADERS, LOAD_HEADER,
+};
 use crate::state::id::AttemptId;
 use crate::state::member::TargetStart;
 use crate::state::rate::RequestRate;
@@ -338,7 +340,7 @@
 
     /// Logs the refusal of an attempt, and builds a response that says when a slot may be free.
     fn refuse(&self, reason: NotRun, context: &AttemptContext, request_id: &str) -> Response<Body> {
-        let (load, backlog) = {
+        let (load, backlog, incarnation) = {
             let state = lock(&self.gate);
             let load = state.gate.running() + state.gate.waiting() as u32;
             log::info!(
@@ -352,9 +354,15 @@
                 rate_text(state.gate.rate()),
                 state.gate.mean_service_time().as_secs_f64() * 1000.0,
             );
-            (load, state.gate.backlog(context.work_kind, Instant::now()))
+            let backlog = state.gate.backlog(context.work_kind, Instant::now());
+            (load, backlog, state.gate.incarnation())
         };
-        refusal_response(reason, load, backlog)
+        let mut response = refusal_response(reason, load, backlog);
+        if reason == NotRun::Incarnation {
+            let value = HeaderValue::from(incarnation.0);
+            response.headers_mut().insert(INCARNATION_HEADER, value);
+        }
+        response
     }
 
     /// Returns the status code of the target's responses that shed a request, if the configuration
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,7 +12,7 @@
 //!
 //! To avoid deadlocks, mutexes are locked in the order of the fields of [`Node`]: members,
 //! distribution, watcher_slot, announced_target, target_notices, gate, target_health, link_schedule, picker,
-//! retry_budgets, sender, pending_fetches, pauses. A lock is never held across an await.
+//! peer_restarts, retry_budgets, sender, pending_fetches, pauses. A lock is never held across an await.
 
 mod api;
 mod attempt;
@@ -54,6 +54,7 @@
 use crate::coordination::notice::TargetNotices;
 use crate::coordination::pause::PauseDetector;
 use crate::coordination::pick::Picker;
+use crate::coordination::restarts::PeerRestarts;
 use crate::coordination::retry::RetryBudgets;
 use crate::coordination::transfer::LinkSchedule;
 use crate::coordination::watcher_slot::WatcherSlot;
@@ -134,6 +135,7 @@
     /// configured.
     link_schedule: Mutex<Option<LinkSchedule>>,
     picker: Mutex<Picker>,
+    peer_restarts: Mutex<PeerRestarts>,
     retry_budgets: Mutex<RetryBudgets>,
     fleet_retries: ArcSwapOption<FleetRetries>,
     sender: Mutex<DatagramSender>,
@@ -201,6 +203,7 @@
             target_health: Mutex::new(TargetHealth::default()),
             link_schedule: Mutex::new(settings.link_mbit.map(|rate| LinkSchedule::new(rate, now))),
             picker: Mutex::new(Picker::new(rng.fork())),
+            peer_restarts: Mutex::new(PeerRestarts::default()),
             retry_budgets: Mutex::new(RetryBudgets::default()),
             fleet_retries: ArcSwapOption::from_pointee(settings.retries),
             sender: Mutex::new(sender),
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -21,6 +21,8 @@
 pub const LOAD_HEADER: &str = "tarragon-load";
 /// Time after which a gate that refused a request may have capacity again, in milliseconds.
 pub const BACKLOG_HEADER: &str = "tarragon-backlog-ms";
+/// Incarnation of the gate that refused an attempt because it named another one.
+pub const INCARNATION_HEADER: &str = "tarragon-incarnation";
 /// Number of attempts that the request may still use. A node makes no more attempts than the header
 /// of an incoming request allows, so that attempts do not multiply along a chain of calls.
 pub const ATTEMPTS_LEFT_HEADER: &str = "tarragon-attempts-left";
@@ -40,11 +42,12 @@
 
 /// Headers that only nodes may set. Nodes remove them from requests of callers and from responses
 /// of targets.
-pub const INTERNAL_HEADERS: [&str; 4] = [
+pub const INTERNAL_HEADERS: [&str; 5] = [
     ATTEMPT_CONTEXT_HEADER,
     ATTEMPT_ID_HEADER,
     LOAD_HEADER,
     BACKLOG_HEADER,
+    INCARNATION_HEADER,
 ];
 
 /// Data about an attempt that an ingress sends to the gate in [`ATTEMPT_CONTEXT_HEADER`].
