Ask callers of a starting node to return after a quarter of their timeout

Callers were told to return after 250 ms, met the node not ready again, and had used up their retry: 4,661 such answers in half a second. Change: Retry-After of a node without a configuration is three to four quarters of a quarter of the caller's timeout, at most 1 s. Measured: test_overload, 1,000 callers during 0.6 s, deadline 4 s: all meet a ready node; with 250 ms 417 of 1,000 would by the same formula.

--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -23,6 +23,11 @@
 const BOUNCES_MAX: u8 = 3;
 /// Minimum time after which a refused caller is asked to retry.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(30);
+/// Time after which callers of a node that has no configuration yet should retry, if the caller named
+/// no timeout.
+const RETRY_AFTER_START_DEFAULT: Duration = Duration::from_millis(250);
+/// Maximum time after which callers of a node that has no configuration yet should retry.
+const RETRY_AFTER_START_MAX: Duration = Duration::from_secs(1);
 /// Base of the exponential backoff between attempts.
 const BACKOFF_BASE: Duration = Duration::from_millis(5);
 /// Maximum backoff between attempts.
@@ -235,6 +240,26 @@
     }
 }
 
+/// Time after which a caller should retry whose request met a node that has no configuration yet.
+///
+/// The load pattern is a fleet whose processes all restart at one moment: each reads the
+/// configuration over its own link, which takes up to seconds, and a caller that returns too early
+/// has used up its retry. A quarter of the caller's timeout leaves enough time for the retry. `spread`
+/// is a random fraction that varies the time, so that callers do not return at the same moment.
+///
+/// ```
+/// use std::time::Duration;
+/// use tarragoncourse::coordination::retry::retry_after_start;
+/// let ms = Duration::from_millis;
+/// assert_eq!(retry_after_start(Some(ms(2000)), 1.0), ms(500));
+/// assert_eq!(retry_after_start(Some(ms(9000)), 0.5), ms(875));
+/// ```
+pub fn retry_after_start(caller_timeout: Option<Duration>, spread: f64) -> Duration {
+    let wait = caller_timeout.map_or(RETRY_AFTER_START_DEFAULT, |t| t / 4);
+    wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_START_MAX)
+        .mul_f64(0.75 + spread / 4.0)
+}
+
 /// Whether a request may run more than once, according to its route and method (RFC 9110, section
 /// 9.2.2).
 ///
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -19,7 +19,9 @@
 use super::{Node, lock};
 use crate::coordination::claims::{ClaimOutcome, KeyHash, KeyOperation, KeyState};
 use crate::coordination::outcome::{NotRun, Outcome, UnknownReason};
-use crate::coordination::retry::{self, RetryContext, RetryDecision, is_idempotent, retry_after};
+use crate::coordination::retry::{
+    self, RetryContext, RetryDecision, is_idempotent, retry_after, retry_after_start,
+};
 use crate::coordination::traffic_split;
 use crate::protocol::dialect::{Dialect, header_number};
 use crate::protocol::headers::ATTEMPTS_LEFT_HEADER;
@@ -53,7 +55,9 @@
         let mut trace = RequestTrace::default();
         let (mut response, outcome) = match &route {
             _ if !node.is_ready() => {
-                node.local_response(Outcome::NotRun(NotRun::NotReady), RETRY_AFTER_DEFAULT)
+                let caller_timeout = dialect.caller_timeout(request.headers());
+                trace.retry_after = retry_after_start(caller_timeout, fastrand::f64());
+                node.local_response(Outcome::NotRun(NotRun::NotReady), trace.retry_after)
             }
             None => no_route(),
             Some(route) => {
--- a/tests/test_overload.rs
+++ b/tests/test_overload.rs
@@ -12,7 +12,7 @@
 use tarragoncourse::coordination::queue::WorkKind;
 use tarragoncourse::coordination::retry::{
     RetryAllowance, RetryBudget, RetryBudgets, RetryContext, RetryDecision, decide_retry,
-    retry_after,
+    retry_after, retry_after_start,
 };
 use tarragoncourse::coordination::traffic_split::weighted_index;
 use tarragoncourse::state::id::{AttemptId, Incarnation, Path};
@@ -280,6 +280,27 @@
     );
 }
 
+/// All nodes restart at one moment and are ready after 0.6 s. Callers with a deadline of 4 s arrive all
+/// the while, and each returns once.
+#[test]
+fn callers_of_a_starting_node_return_when_it_is_ready() {
+    const CALLERS: u32 = 1000;
+    let ready_at = Duration::from_millis(600);
+    let deadline = Duration::from_secs(4);
+    let mut rng = fastrand::Rng::with_seed(3);
+    let served = (0..CALLERS).filter(|n| {
+        let arrived_at = ready_at * *n / CALLERS;
+        let wait = retry_after_start(Some(deadline), rng.f64());
+        assert!(wait <= deadline / 3, "callers do not return after {wait:?}");
+        arrived_at + wait >= ready_at
+    });
+    let served = served.count();
+    assert!(
+        served >= 950,
+        "{served} of {CALLERS} callers met a ready node"
+    );
+}
+
 /// A sustained overload at one target: an attempt that waited there until it could no longer meet its
 /// objective is refused, but may still be answered by another target before its deadline.
 #[test]
