Send a request again only to a gate of the same service

Ruled out: the picker and the routing table, whose records were merely old; before the unknown incarnation had guarded this. Change: the refusal also names the service of the gate's target; the request is sent again only if it is the request's own. Measured: test_restart, a node of another service at the same addresses: before, its target answered (200); now 503 throughout. Conclusion: an incarnation identifies a process, not what stands behind it.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -18,7 +18,9 @@
 use crate::coordination::queue::WorkKind;
 use crate::coordination::transfer::{LARGE_BODY_BYTES, TransferDecision};
 use crate::protocol::dialect::{Dialect, header_number};
-use crate::protocol::headers::{AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, LOAD_HEADER};
+use crate::protocol::headers::{
+    AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, LOAD_HEADER, SERVICE_HEADER,
+};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::state::id::{AttemptId, Incarnation, Path};
 use crate::state::object::{Class, Route};
@@ -213,7 +215,8 @@
         let mut request = call.build_request();
         if target.peer == self.addresses.peers {
             let response = self.run_local(context, request).await;
-            return read_gate_response(response, || elapsed_unless_bulk(started)).await;
+            return read_gate_response(response, &call.service, || elapsed_unless_bulk(started))
+                .await;
         }
         if let Some(result) = self.request_transfer(call, target).await {
             return result;
@@ -228,7 +231,8 @@
         context.write(&self.fleet_key, request.headers_mut());
         let exchange = async {
             let response = self.gate_client.send(target.gate_addr, request).await?;
-            Ok(read_gate_response(response, || elapsed_unless_bulk(started)).await)
+            let service_time = || elapsed_unless_bulk(started);
+            Ok(read_gate_response(response, &call.service, service_time).await)
         };
         match tokio::time::timeout_at(call.deadline + RESPONSE_GRACE, exchange).await {
             Ok(Ok(result)) => result,
@@ -380,6 +384,7 @@
 /// another process listens at that address.
 async fn read_gate_response(
     mut response: Response<Body>,
+    service: &Path,
     service_time: impl Fn() -> Option<Duration>,
 ) -> (AttemptResult, TargetFeedback) {
     let headers = response.headers();
@@ -408,12 +413,11 @@
             }
         }
         Some(outcome) => {
-            let current = header_number(headers, INCARNATION_HEADER).map(Incarnation);
-            if let (Outcome::NotRun(NotRun::Incarnation), Some(current)) = (outcome, current) {
-                return (
-                    AttemptResult::Restarted(current),
-                    TargetFeedback::Refused(load),
-                );
+            if outcome == Outcome::NotRun(NotRun::Incarnation)
+                && let Some(current) = current_incarnation(headers, service)
+            {
+                let feedback = TargetFeedback::Refused(load);
+                return (AttemptResult::Restarted(current), feedback);
             }
             let feedback = match outcome {
                 Outcome::NotRun(NotRun::Unreachable)
@@ -429,6 +433,14 @@
     }
 }
 
+/// Returns the incarnation that a gate has named in its refusal, if its target still belongs to the
+/// service. After a replacement, a target of another service may have the address.
+fn current_incarnation(headers: &HeaderMap, service: &Path) -> Option<Incarnation> {
+    let named = headers.get(SERVICE_HEADER)?.to_str().ok()?;
+    let incarnation = header_number(headers, INCARNATION_HEADER).map(Incarnation);
+    incarnation.filter(|_| named == service.as_str())
+}
+
 /// Returns the key under which a gate keeps service time statistics for a route's requests: their
 /// priority and latency objective.
 fn work_kind(route: &Route) -> WorkKind {
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -26,8 +26,9 @@
 };
 use crate::protocol::headers::{
     AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, INTERNAL_HEADERS, LOAD_HEADER,
+    SERVICE_HEADER,
 };
-use crate::state::id::AttemptId;
+use crate::state::id::{AttemptId, Incarnation};
 use crate::state::member::TargetStart;
 use crate::state::rate::RequestRate;
 use crate::transport::client::SendError;
@@ -359,12 +360,21 @@
         };
         let mut response = refusal_response(reason, load, backlog);
         if reason == NotRun::Incarnation {
-            let value = HeaderValue::from(incarnation.0);
-            response.headers_mut().insert(INCARNATION_HEADER, value);
+            self.name_gate(response.headers_mut(), incarnation);
         }
         response
     }
 
+    /// Sets the headers that name this gate's incarnation and the service of its target.
+    fn name_gate(&self, headers: &mut HeaderMap, incarnation: Incarnation) {
+        let service = self.settings.target.as_ref().map(|t| t.service.as_str());
+        let service = service.and_then(|s| HeaderValue::from_str(s).ok());
+        if let Some(service) = service {
+            headers.insert(INCARNATION_HEADER, HeaderValue::from(incarnation.0));
+            headers.insert(SERVICE_HEADER, service);
+        }
+    }
+
     /// Returns the status code of the target's responses that shed a request, if the configuration
     /// of its service contains one.
     fn shed_status(&self, target: &LocalTarget) -> Option<u16> {
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -23,6 +23,8 @@
 pub const BACKLOG_HEADER: &str = "tarragon-backlog-ms";
 /// Incarnation of the gate that refused an attempt because it named another one.
 pub const INCARNATION_HEADER: &str = "tarragon-incarnation";
+/// Service of that gate's target. After a replacement, another service may have the address.
+pub const SERVICE_HEADER: &str = "tarragon-service";
 /// Number of attempts that the request may still use. A node makes no more attempts than the header
 /// of an incoming request allows, so that attempts do not multiply along a chain of calls.
 pub const ATTEMPTS_LEFT_HEADER: &str = "tarragon-attempts-left";
@@ -42,12 +44,13 @@
 
 /// Headers that only nodes may set. Nodes remove them from requests of callers and from responses
 /// of targets.
-pub const INTERNAL_HEADERS: [&str; 5] = [
+pub const INTERNAL_HEADERS: [&str; 6] = [
     ATTEMPT_CONTEXT_HEADER,
     ATTEMPT_ID_HEADER,
     LOAD_HEADER,
     BACKLOG_HEADER,
     INCARNATION_HEADER,
+    SERVICE_HEADER,
 ];
 
 /// Data about an attempt that an ingress sends to the gate in [`ATTEMPT_CONTEXT_HEADER`].
--- a/tests/test_restart.rs
+++ b/tests/test_restart.rs
@@ -6,23 +6,27 @@
 use hyper::{Request, StatusCode};
 use tarragoncourse::coordination::outcome::OUTCOME_HEADER;
 use tarragoncourse::experiment::fleet::{Fleet, node_settings};
-use tarragoncourse::experiment::latency::start_ready_fleet;
+use tarragoncourse::experiment::latency::{service_path, start_ready_fleet};
 use tarragoncourse::node::RunningNode;
 use tarragoncourse::node::config::{Listen, LocalTarget};
 use tarragoncourse::standin::target::Behaviour;
+use tarragoncourse::state::id::Path;
 use tarragoncourse::transport::client::HttpClient;
 
 /// Upper bound of the delay after which the restarted node joins. Until then, the entry node has only
 /// the record of its earlier process.
 const JOIN_JITTER: Duration = Duration::from_secs(600);
+/// Time for which orders are sent after the replacement.
+const REPLACED_TIME: Duration = Duration::from_secs(1);
 const RESTART_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Kills the node of the only target, and starts it again at the same addresses.
-async fn restart_target_node(fleet: &mut Fleet) {
+/// Kills the node of the only target, and starts it again at the same addresses, with a target of
+/// the given service.
+async fn restart_target_node(fleet: &mut Fleet, service: Path) {
     let addresses = fleet.node(0).addresses();
     let target = LocalTarget {
         address: fleet.targets[0].address,
-        service: fleet.targets[0].service.clone(),
+        service,
         slots: fleet.targets[0].target.slots(),
         announced: false,
     };
@@ -66,7 +70,7 @@
         .expect("the fleet starts");
     let client = HttpClient::default();
     assert_eq!(send_order(&fleet, &client).await.0, StatusCode::OK);
-    restart_target_node(&mut fleet).await;
+    restart_target_node(&mut fleet, service_path()).await;
     let started = Instant::now();
     let mut statuses = Vec::new();
     while !statuses.contains(&StatusCode::OK) {
@@ -77,3 +81,22 @@
     }
     fleet.shut_down();
 }
+
+/// The instance is replaced, and one with a target of another service gets its addresses. A request
+/// must not reach that target, although its gate names its incarnation.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_does_not_reach_another_service_at_the_same_address() {
+    let mut fleet = start_ready_fleet(1, 1, Behaviour::default())
+        .await
+        .expect("the fleet starts");
+    let client = HttpClient::default();
+    assert_eq!(send_order(&fleet, &client).await.0, StatusCode::OK);
+    let other_service = Path::new("guild/services/planroom").expect("the path is valid");
+    restart_target_node(&mut fleet, other_service).await;
+    let started = Instant::now();
+    while started.elapsed() < REPLACED_TIME {
+        let (status, outcome) = send_order(&fleet, &client).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{outcome}");
+    }
+    fleet.shut_down();
+}
