Take over the slot of an earlier process, and watch while no one does

No node watched the document from second 26.9 to 31. Ruled out: gossip by zone (zones of 4 are below its size). Change: a slot that names the node itself is taken over from its old lease; a node whose zone has no live watcher watches the document itself from 2 s after its start.

--- a/src/coordination/watcher_slot.rs
+++ b/src/coordination/watcher_slot.rs
@@ -23,6 +23,36 @@
 /// Number of nodes, beyond the number of slots, that may try to acquire a slot of their zone.
 const SPARE_CANDIDATES: usize = 1;
 
+/// Up to this fleet size, every node watches the document of an external operator itself.
+const WATCH_ALL_MAX_NODES: usize = 16;
+/// Time after the start within which a node learns the size of the fleet and its watchers.
+const JOIN_TIME: Duration = Duration::from_secs(2);
+
+/// What decides whether a node watches the document of an external operator itself.
+#[derive(Clone, Copy, Debug)]
+pub struct DocumentWatch {
+    /// Whether the node has an up-to-date configuration.
+    pub ready: bool,
+    /// Time since the node started.
+    pub uptime: Duration,
+    /// Whether the node holds a watcher slot.
+    pub holds_slot: bool,
+    /// Number of live members of the fleet.
+    pub members_alive: usize,
+    /// Whether the member table contains a live watcher of the node's zone.
+    pub zone_watched: bool,
+}
+
+impl DocumentWatch {
+    /// Whether the node watches the document itself. Without a configuration it always does, because
+    /// it needs one to become ready. If all nodes restart at one moment, the slots stay occupied by
+    /// the leases of the earlier processes, and until they expire no node of the zone may hold one.
+    pub fn is_needed(&self) -> bool {
+        let few_watchers = self.members_alive <= WATCH_ALL_MAX_NODES || !self.zone_watched;
+        !self.ready || self.holds_slot || (self.uptime >= JOIN_TIME && few_watchers)
+    }
+}
+
 /// Next step for the watcher slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotStep {
@@ -137,6 +167,11 @@
     (Reverse(link_mbit), address_hash(peer))
 }
 
+/// Whether the member table contains a live watcher of a zone.
+pub fn is_zone_watched(table: &MemberTable, zone: &str) -> bool {
+    occupied_slots(table, zone) > 0
+}
+
 fn occupied_slots(table: &MemberTable, zone: &str) -> usize {
     let peers = table.peers_in_zone(zone).into_iter().flatten();
     let is_watcher = |p: &&SocketAddr| {
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -9,8 +9,12 @@
 
 use super::{Node, lock};
 use crate::coordination::distribution::Actions;
-use crate::coordination::watcher_slot::{LEASE_TTL, SlotStep};
-use crate::protocol::record::{HEAD_KEY, SLOT_PREFIX, decode_head, encode_slot, slot_key};
+use crate::coordination::watcher_slot::{
+    DocumentWatch, LEASE_TTL, SLOTS_PER_ZONE, SlotStep, is_zone_watched,
+};
+use crate::protocol::record::{
+    HEAD_KEY, SLOT_PREFIX, decode_head, decode_slot, encode_slot, slot_key,
+};
 use crate::state::id::Version;
 use crate::transport::platform::{DocumentUpdate, Platform, PlatformError, PlatformResult, Value};
 
@@ -28,10 +32,6 @@
 const DOCUMENT_BATCH_DELAY: Duration = Duration::from_millis(700);
 /// Mean delay after a failed read or watch of the document.
 const DOCUMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Up to this fleet size, every node watches the document itself.
-const WATCH_ALL_MAX_NODES: usize = 16;
-/// Time after the start within which a node learns the size of the fleet.
-const JOIN_TIME: Duration = Duration::from_secs(2);
 /// Mean delay after a failed watch on the head.
 const WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -65,18 +65,32 @@
     }
 
     /// Acquires a watcher slot of this node's zone, unless another node holds it. In that case, joins
-    /// the holders that are missing from the member table.
+    /// the holders that are missing from the member table. A slot that names this node was acquired
+    /// by an earlier process, and is taken over from its lease.
     async fn try_acquire_slot(self: &Arc<Self>, number: usize) {
-        let key = slot_key(&self.settings.zone, number);
-        match self.platform.list(SLOT_PREFIX).await {
-            Ok(slots) if slots.iter().any(|(k, _)| *k == key) => self.join_holders(&slots).await,
-            Ok(_) => self.acquire_slot(number).await,
-            Err(e) => log::info!("watcher slots not read: {e}"),
+        let slots = match self.platform.list(SLOT_PREFIX).await {
+            Ok(slots) => slots,
+            Err(e) => return log::info!("watcher slots not read: {e}"),
+        };
+        let find = |n: usize| {
+            let key = slot_key(&self.settings.zone, n);
+            slots
+                .iter()
+                .find(|(k, _)| *k == key)
+                .map(|(_, value)| value)
+        };
+        let is_own = |v: &&Value| decode_slot(&v.text) == Some(self.addresses.peers);
+        let own = (0..SLOTS_PER_ZONE).find_map(|n| Some((n, find(n).filter(is_own)?.revision)));
+        match (own, find(number)) {
+            (Some((own_number, revision)), _) => self.acquire_slot(own_number, revision).await,
+            (None, Some(_)) => self.join_holders(&slots).await,
+            (None, None) => self.acquire_slot(number, 0).await,
         }
     }
 
-    /// Tries to acquire a watcher slot of this node's zone under a new lease.
-    async fn acquire_slot(self: &Arc<Self>, number: usize) {
+    /// Tries to acquire a watcher slot of this node's zone under a new lease. `revision` is that of
+    /// the slot's key, or zero if it does not exist.
+    async fn acquire_slot(self: &Arc<Self>, number: usize, revision: u64) {
         let requested_at = Instant::now();
         let Ok(lease) = self.platform.grant_lease(LEASE_TTL).await else {
             return;
@@ -85,7 +99,7 @@
         let value = encode_slot(self.addresses.peers);
         match self
             .platform
-            .compare_and_swap(&key, &value, 0, Some(lease))
+            .compare_and_swap(&key, &value, revision, Some(lease))
             .await
         {
             Ok(Some(_)) => {
@@ -212,14 +226,22 @@
         DOCUMENT_BATCH_DELAY
     }
 
-    /// Returns whether this node watches the document itself. A node that is not ready always does,
-    /// because it needs the document to become ready, whichever other nodes watch it.
+    /// Returns whether this node watches the document itself.
     fn should_watch_document(&self) -> bool {
-        let in_small_fleet =
-            self.started.elapsed() >= JOIN_TIME && self.members_alive() <= WATCH_ALL_MAX_NODES;
-        !self.is_ready()
-            || in_small_fleet
-            || lock(&self.watcher_slot).held(Instant::now()).is_some()
+        let (members_alive, zone_watched) = {
+            let members = lock(&self.members);
+            let table = members.table();
+            let zone_watched = is_zone_watched(table, &self.settings.zone);
+            (table.alive_count(), zone_watched)
+        };
+        let watch = DocumentWatch {
+            ready: self.is_ready(),
+            uptime: self.started.elapsed(),
+            holds_slot: lock(&self.watcher_slot).held(Instant::now()).is_some(),
+            members_alive,
+            zone_watched,
+        };
+        watch.is_needed()
     }
 
     /// Records that a call for the document succeeded, and logs it if the previous one had failed.
--- a/tests/test_slots.rs
+++ b/tests/test_slots.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tarragoncourse::coordination::watcher_slot::{
-    LEASE_TTL, RENEW_PERIOD, SLOTS_PER_ZONE, SlotStep, WatcherSlot,
+    DocumentWatch, LEASE_TTL, RENEW_PERIOD, SLOTS_PER_ZONE, SlotStep, WatcherSlot, is_zone_watched,
 };
 use tarragoncourse::state::id::Incarnation;
 use tarragoncourse::state::member::{Health, MemberRecord, MemberTable};
@@ -129,3 +129,23 @@
         "{released} of 500 nodes released their slot"
     );
 }
+
+/// All 17 nodes of a fleet restart at one moment, and the slots stay occupied by the leases of their
+/// earlier processes. Some node must watch the document before the members are expected to follow it.
+#[test]
+fn a_node_of_a_zone_without_a_watcher_watches_the_document() {
+    let table = member_table(17, 0);
+    let restarted = DocumentWatch {
+        ready: true,
+        uptime: Duration::from_secs(2),
+        holds_slot: false,
+        members_alive: 17,
+        zone_watched: is_zone_watched(&table, "a"),
+    };
+    assert!(restarted.is_needed());
+    let watched = DocumentWatch {
+        zone_watched: is_zone_watched(&member_table(17, 1), "a"),
+        ..restarted
+    };
+    assert!(!watched.is_needed());
+}
