--- a/src/coordination/members/locality.rs
+++ b/src/coordination/members/locality.rs
@@ -17,7 +17,7 @@
 const REMOTE_PROBE_RATIO: f64 = 0.25;
 
 impl Members {
-    /// Live peers to pass news to, chosen at random, mostly in this node's zone.
+    /// Live peers for gossip and announcements, chosen at random, mostly in this node's zone.
     pub fn sample_news_peers(&mut self, count: usize) -> Vec<SocketAddr> {
         let mut peers = Vec::with_capacity(count);
         for _ in 0..count {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -242,6 +242,7 @@
                         .record_response_size(response.body().size_hint().exact().unwrap_or(0));
                     return (response, Outcome::Answered);
                 }
+                // The attempt has already been repeated at the current incarnation.
                 AttemptResult::Restarted(_) => Outcome::NotRun(NotRun::Incarnation),
                 AttemptResult::Unanswered(outcome, backlog) => {
                     min_backlog = backlog.into_iter().chain(min_backlog).min();
