--- a/src/coordination/claims.rs
+++ b/src/coordination/claims.rs
@@ -15,6 +15,7 @@
 
 use crate::state::digest::DigestBuilder;
 use crate::state::id::AttemptId;
+use crate::state::revision::Revision;
 
 /// Number of shards that the keys are divided into.
 pub const SHARD_COUNT: u64 = 16;
@@ -239,7 +240,7 @@
     /// Read the shard's table and its revision.
     Read,
     /// Swap in this table if its revision in the platform is still the given one.
-    Swap(ClaimTable, u64),
+    Swap(ClaimTable, Revision),
     /// The batch has been applied; the results are in the order of the operations.
     Done(Vec<ClaimOutcome>),
     /// The platform did not respond, or every swap lost to another writer. The claims of the batch
@@ -251,9 +252,9 @@
 /// Result of the last step.
 #[derive(Clone, Debug)]
 pub enum BatchEvent {
-    /// The table and its revision, which is zero if there is no table yet; `None` if the platform
-    /// did not respond.
-    Table(Option<(ClaimTable, u64)>),
+    /// The table and its revision, [`Revision::ABSENT`] if there is no table yet; `None` if the
+    /// platform did not respond.
+    Table(Option<(ClaimTable, Revision)>),
     /// Whether the swap succeeded; `None` if the platform did not respond.
     Swapped(Option<bool>),
 }
@@ -294,7 +295,7 @@
         }
     }
 
-    fn apply_to_table(&mut self, mut table: ClaimTable, revision: u64) -> BatchStep {
+    fn apply_to_table(&mut self, mut table: ClaimTable, revision: Revision) -> BatchStep {
         let before = table.clone();
         self.outcomes = table.apply(&self.operations, self.unix_secs);
         if table == before {
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -14,6 +14,7 @@
 
 use crate::state::digest::Digest;
 use crate::state::id::{ChangeId, Path, Version};
+use crate::state::revision::Revision;
 use crate::state::snapshot::{Delta, Edit, Snapshot};
 use crate::state::validate::{ValidationError, check_config, check_ownership};
 
@@ -84,13 +85,12 @@
     },
     /// Write a change record under its version and change identifier.
     WriteRecord(ChangeRecord),
-    /// Swap the head if its revision is still the given one; revision zero means that no head
-    /// exists.
+    /// Swap the head if its revision is still the given one.
     SwapHead {
         /// New head.
         head: Head,
         /// Expected revision.
-        revision: u64,
+        revision: Revision,
     },
     /// Read the change record of this version and change.
     ReadRecord(Version, ChangeId),
@@ -106,7 +106,7 @@
     /// The commit starts, or a pause has ended.
     Resume,
     /// The head and its revision; `None` if no change was ever accepted.
-    HeadRead(PlatformResult<Option<(Head, u64)>>),
+    HeadRead(PlatformResult<Option<(Head, Revision)>>),
     /// The configuration at the head and the requested deltas.
     Loaded(PlatformResult<(Arc<Snapshot>, Vec<Arc<Delta>>)>),
     /// The change record was written.
@@ -168,7 +168,7 @@
     ReadingHead,
     Loading {
         head: Head,
-        revision: u64,
+        revision: Revision,
     },
     WritingRecord(Proposal),
     SwappingHead(Proposal),
@@ -185,7 +185,7 @@
 struct Proposal {
     head: Head,
     /// Head revision that the swap expects.
-    revision: u64,
+    revision: Revision,
     record: ChangeRecord,
     snapshot: Arc<Snapshot>,
 }
@@ -270,11 +270,11 @@
         CommitStep::ReadHead
     }
 
-    fn handle_head(&mut self, result: PlatformResult<Option<(Head, u64)>>) -> CommitStep {
+    fn handle_head(&mut self, result: PlatformResult<Option<(Head, Revision)>>) -> CommitStep {
         let Ok(found) = result else {
             return self.back_off(None);
         };
-        let (head, revision) = found.unwrap_or_else(|| (empty_head(), 0));
+        let (head, revision) = found.unwrap_or_else(|| (empty_head(), Revision::ABSENT));
         if head.version < self.newest_known {
             return self.finish(CommitOutcome::HeadBehind {
                 head: head.version,
@@ -293,7 +293,7 @@
     fn handle_loaded(
         &mut self,
         head: Head,
-        revision: u64,
+        revision: Revision,
         result: PlatformResult<(Arc<Snapshot>, Vec<Arc<Delta>>)>,
     ) -> CommitStep {
         let Ok((base, deltas)) = result else {
@@ -337,7 +337,7 @@
     fn build_proposal(
         &self,
         head: &Head,
-        revision: u64,
+        revision: Revision,
         base: &Snapshot,
         digest: Digest,
     ) -> Proposal {
@@ -400,12 +400,12 @@
     fn resolve(
         &mut self,
         proposal: Proposal,
-        result: PlatformResult<Option<(Head, u64)>>,
+        result: PlatformResult<Option<(Head, Revision)>>,
     ) -> CommitStep {
         let Ok(found) = result else {
             return self.back_off(Some(proposal));
         };
-        let (head, revision) = found.unwrap_or_else(|| (empty_head(), 0));
+        let (head, revision) = found.unwrap_or_else(|| (empty_head(), Revision::ABSENT));
         if head.change == proposal.head.change {
             return self.finish_accepted(proposal);
         }
--- a/src/coordination/watcher_slot.rs
+++ b/src/coordination/watcher_slot.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::state::member::{Health, MemberTable};
+use crate::state::revision::Lease;
 
 /// Number of slots in each availability zone.
 pub const SLOTS_PER_ZONE: usize = 2;
@@ -61,9 +62,9 @@
     /// Try to acquire the slot with this number in the node's own zone.
     Acquire(usize),
     /// Renew this lease.
-    Renew(u64),
+    Renew(Lease),
     /// Release this lease, because too many other nodes rank before this one.
-    Release(u64),
+    Release(Lease),
 }
 
 /// Slot held by a node.
@@ -72,7 +73,7 @@
     /// Number of the slot in its zone.
     pub number: usize,
     /// Lease to which the slot's key is attached.
-    pub lease: u64,
+    pub lease: Lease,
     /// Time at which the lease was last known to be valid: when the call that acquired or renewed
     /// it was sent.
     pub renewed_at: Instant,
@@ -134,7 +135,7 @@
     }
 
     /// Records that a call sent at `called_at` acquired a slot.
-    pub fn record_acquired(&mut self, number: usize, lease: u64, called_at: Instant) {
+    pub fn record_acquired(&mut self, number: usize, lease: Lease, called_at: Instant) {
         self.held = Some(HeldSlot {
             number,
             lease,
@@ -143,14 +144,14 @@
     }
 
     /// Records that a call sent at `called_at` renewed the lease.
-    pub fn record_renewed(&mut self, lease: u64, called_at: Instant) {
+    pub fn record_renewed(&mut self, lease: Lease, called_at: Instant) {
         if let Some(h) = self.held.as_mut().filter(|h| h.lease == lease) {
             h.renewed_at = called_at;
         }
     }
 
     /// Records that the platform no longer has the lease.
-    pub fn record_expired(&mut self, lease: u64) {
+    pub fn record_expired(&mut self, lease: Lease) {
         self.held = self.held.filter(|h| h.lease != lease);
     }
 }
--- a/src/experiment/baseline.rs
+++ b/src/experiment/baseline.rs
@@ -15,6 +15,7 @@
 use crate::protocol::record::{encode_pieces, piece_key};
 use crate::protocol::wire::WireEdit;
 use crate::standin::platform::MemoryPlatform;
+use crate::state::revision::Revision;
 use crate::state::snapshot::Edit;
 use crate::transport::platform::Platform;
 
@@ -87,7 +88,7 @@
     let (index, pieces) = encode_pieces(&snapshot);
     for (n, piece) in pieces.iter().enumerate() {
         platform
-            .compare_and_swap(&piece_key(&index, n), piece, 0, None)
+            .compare_and_swap(&piece_key(&index, n), piece, Revision::ABSENT, None)
             .await?;
     }
     let shared = Arc::new(SharedState {
@@ -113,13 +114,13 @@
     shared.read_bytes.store(0, Ordering::Relaxed);
     let mut convergence_times = Vec::new();
     let mut calls = 0;
-    let mut revision = 0;
+    let mut revision = Revision::ABSENT;
     for version in 1..=changes {
         let edits: Vec<Edit> = (0..3).map(|k| put_service(k, version as usize)).collect();
         let wire_edits: Vec<WireEdit> = edits.iter().map(WireEdit::from).collect();
         let delta = serde_json::to_string(&wire_edits)?;
         platform
-            .compare_and_swap(&format!("delta/{version}"), &delta, 0, None)
+            .compare_and_swap(&format!("delta/{version}"), &delta, Revision::ABSENT, None)
             .await?;
         let before = total_calls(&platform);
         let swapped = platform
@@ -164,7 +165,7 @@
     shared: Arc<SharedState>,
     first_piece_key: String,
 ) {
-    let mut revision = 0;
+    let mut revision = Revision::ABSENT;
     if strategy == Strategy::Poll {
         tokio::time::sleep(POLL_INTERVAL.mul_f64(fastrand::f64())).await;
     }
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -18,6 +18,7 @@
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::protocol::record::{claim_table_key, decode_claim_table, encode_claim_table};
 use crate::state::member::Health;
+use crate::state::revision::Revision;
 use crate::transport::link::send_request;
 use crate::transport::platform::Platform;
 
@@ -181,9 +182,9 @@
         }
     }
 
-    async fn read_table(&self, key: &str) -> Option<(ClaimTable, u64)> {
+    async fn read_table(&self, key: &str) -> Option<(ClaimTable, Revision)> {
         match self.platform.get(key).await {
-            Ok(None) => Some((ClaimTable::default(), 0)),
+            Ok(None) => Some((ClaimTable::default(), Revision::ABSENT)),
             Ok(Some(value)) => Some((decode_claim_table(&value.text).ok()?, value.revision)),
             Err(_) => None,
         }
--- a/src/node/dump.rs
+++ b/src/node/dump.rs
@@ -24,6 +24,7 @@
             "routing": self.dump_routing(),
             "gate": self.dump_gate(),
             "slot": self.dump_slot(),
+            "platform_era": self.platform.era().0,
             "retry_budget": lock(&self.retry_budgets).remaining(),
             "control_deferred": lock(&self.sender).budget.deferred(),
         })
@@ -57,6 +58,7 @@
                 "config_rollbacks",
                 self.head_rollbacks.load(Ordering::Relaxed) as f64,
             ),
+            ("platform_era", self.platform.era().0 as f64),
             ("members_alive", alive as f64),
             ("members_awareness", f64::from(awareness)),
             ("members_suspected", member_counts.suspected as f64),
@@ -179,7 +181,7 @@
 
     fn dump_slot(&self) -> Value {
         match lock(&self.watcher_slot).held(Instant::now()) {
-            Some(slot) => json!({ "number": slot.number, "lease": slot.lease }),
+            Some(slot) => json!({ "number": slot.number, "lease": slot.lease.number }),
             None => Value::Null,
         }
     }
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -19,6 +19,7 @@
 };
 use crate::protocol::wire::WireError;
 use crate::state::id::{ChangeId, Version};
+use crate::state::revision::Revision;
 use crate::state::snapshot::{Delta, Edit, Snapshot};
 use crate::state::validate::{ADMIN, check_references};
 use crate::transport::platform::{Platform, PlatformError};
@@ -55,7 +56,7 @@
 
 impl<P: Platform> Node<P> {
     /// Reads the head and its revision. Returns `None` if no change was ever accepted.
-    pub(super) async fn read_head(&self) -> StoreResult<Option<(Head, u64)>> {
+    pub(super) async fn read_head(&self) -> StoreResult<Option<(Head, Revision)>> {
         let Some(value) = self.platform.get(HEAD_KEY).await? else {
             return Ok(None);
         };
@@ -289,7 +290,7 @@
         // id.
         match self
             .platform
-            .compare_and_swap(&key, &encode_change(record), 0, None)
+            .compare_and_swap(&key, &encode_change(record), Revision::ABSENT, None)
             .await
         {
             Ok(_) => Ok(()),
@@ -298,7 +299,7 @@
     }
 
     /// Replaces the head if its revision is still the given one. Returns whether it did.
-    async fn swap_head(&self, head: &Head, revision: u64) -> PlatformResult<bool> {
+    async fn swap_head(&self, head: &Head, revision: Revision) -> PlatformResult<bool> {
         match self
             .platform
             .compare_and_swap(HEAD_KEY, &encode_head(head), revision, None)
@@ -347,11 +348,11 @@
         let (index, pieces) = encode_pieces(snapshot);
         for (n, piece) in pieces.iter().enumerate() {
             self.platform
-                .compare_and_swap(&piece_key(&index, n), piece, 0, None)
+                .compare_and_swap(&piece_key(&index, n), piece, Revision::ABSENT, None)
                 .await?;
         }
         let existing = self.platform.get(SNAPSHOT_KEY).await?;
-        let revision = existing.as_ref().map_or(0, |v| v.revision);
+        let revision = existing.as_ref().map_or(Revision::ABSENT, |v| v.revision);
         let replaced = existing.and_then(|v| decode_index(&v.text).ok());
         if replaced
             .as_ref()
@@ -374,7 +375,8 @@
     pub(super) async fn restore_head(&self) -> StoreResult<bool> {
         let current = lock(&self.distribution).current().clone();
         let found = self.read_head().await?;
-        let (version, revision) = found.map_or((Version(0), 0), |(h, r)| (h.version, r));
+        let (version, revision) =
+            found.map_or((Version(0), Revision::ABSENT), |(h, r)| (h.version, r));
         if version >= current.version() {
             return Ok(false);
         }
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -16,6 +16,7 @@
     HEAD_KEY, SLOT_PREFIX, decode_head, decode_slot, encode_slot, slot_key,
 };
 use crate::state::id::Version;
+use crate::state::revision::{Lease, Revision};
 use crate::transport::platform::{DocumentUpdate, Platform, PlatformError, PlatformResult, Value};
 
 /// Mean interval between checks of the watcher slots.
@@ -84,13 +85,13 @@
         match (own, find(number)) {
             (Some((own_number, revision)), _) => self.acquire_slot(own_number, revision).await,
             (None, Some(_)) => self.join_holders(&slots).await,
-            (None, None) => self.acquire_slot(number, 0).await,
+            (None, None) => self.acquire_slot(number, Revision::ABSENT).await,
         }
     }
 
     /// Tries to acquire a watcher slot of this node's zone under a new lease. `revision` is that of
-    /// the slot's key, or zero if it does not exist.
-    async fn acquire_slot(self: &Arc<Self>, number: usize, revision: u64) {
+    /// the slot's key.
+    async fn acquire_slot(self: &Arc<Self>, number: usize, revision: Revision) {
         let requested_at = Instant::now();
         let Ok(lease) = self.platform.grant_lease(LEASE_TTL).await else {
             return;
@@ -115,7 +116,7 @@
 
     /// Renews the lease of the slot. If the platform does not respond, the lease remains valid
     /// until it expires.
-    async fn renew_slot(&self, lease: u64) {
+    async fn renew_slot(&self, lease: Lease) {
         let requested_at = Instant::now();
         match self.platform.renew_lease(lease).await {
             Ok(true) => lock(&self.watcher_slot).record_renewed(lease, requested_at),
@@ -144,7 +145,7 @@
         if P::EXTERNAL_CONFIG {
             return self.watch_document().await;
         }
-        let mut revision = 0;
+        let mut revision = Revision::ABSENT;
         loop {
             if lock(&self.watcher_slot).held(Instant::now()).is_none() {
                 tokio::time::sleep(SLOT_CHECK_INTERVAL).await;
@@ -157,7 +158,7 @@
                 }
                 Ok(None) => {}
                 Err(_) => {
-                    revision = 0;
+                    revision = Revision::ABSENT;
                     tokio::time::sleep(WATCH_RETRY_DELAY.mul_f64(0.5 + fastrand::f64())).await;
                 }
             }
@@ -206,8 +207,8 @@
     async fn read_document(&self) -> PlatformResult<DocumentUpdate> {
         let found = self.platform.read_document().await?;
         Ok(DocumentUpdate {
-            // Without a document, revision 0 makes the watch report the first one.
-            revision: found.as_ref().map_or(0, |d| d.revision),
+            // Without a document, the watch reports the first one.
+            revision: found.as_ref().map_or(Revision::ABSENT, |d| d.revision),
             document: found.map(|d| d.snapshot),
         })
     }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -10,6 +10,8 @@
 use super::faults::PlatformFaults;
 use super::store::{CallCounts, Store, VALUE_MAX_BYTES};
 use crate::protocol::dialect::NativeDialect;
+use crate::state::revision::{Era, Lease, Revision};
+use crate::transport::era::EraTracker;
 use crate::transport::platform::{Platform, PlatformError, PlatformResult, Value};
 
 #[derive(Debug)]
@@ -29,6 +31,7 @@
 pub struct MemoryPlatform {
     inner: Arc<Mutex<Inner>>,
     changed: Arc<Notify>,
+    era: EraTracker,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -51,6 +54,7 @@
         MemoryPlatform {
             inner: Arc::new(Mutex::new(inner)),
             changed: Arc::new(Notify::new()),
+            era: EraTracker::default(),
         }
     }
 }
@@ -77,9 +81,9 @@
         self.lock().store.clone()
     }
 
-    /// Replaces the store by an older copy, which simulates a restore from a backup.
-    pub fn restore(&self, store: Store) {
-        self.lock().store = store;
+    /// Comes back from an older copy of the store, in a new era.
+    pub fn restore(&self, copy: Store) {
+        self.lock().store.come_back_from(copy);
         self.changed.notify_waiters();
     }
 
@@ -98,9 +102,11 @@
         if faults.slow_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
         }
-        if self.lock().faults.down {
+        let inner = self.lock();
+        if inner.faults.down {
             return Err(PlatformError::Indeterminate);
         }
+        self.era.observe(inner.store.era());
         Ok(())
     }
 
@@ -162,6 +168,10 @@
         &NativeDialect
     }
 
+    fn era(&self) -> Era {
+        self.era.current()
+    }
+
     async fn get(&self, key: &str) -> PlatformResult<Option<Value>> {
         self.begin_call(CallKind::Read).await?;
         Ok(self.lock().store.get(key))
@@ -171,9 +181,9 @@
         &self,
         key: &str,
         value: &str,
-        expected: u64,
-        lease: Option<u64>,
-    ) -> PlatformResult<Option<u64>> {
+        expected: Revision,
+        lease: Option<Lease>,
+    ) -> PlatformResult<Option<Revision>> {
         if value.len() > VALUE_MAX_BYTES {
             let message = format!(
                 "value has {} bytes, at most {VALUE_MAX_BYTES} are allowed",
@@ -189,7 +199,7 @@
         self.finish_write(swapped)
     }
 
-    async fn delete(&self, key: &str, expected: u64) -> PlatformResult<bool> {
+    async fn delete(&self, key: &str, expected: Revision) -> PlatformResult<bool> {
         self.begin_call(CallKind::Write).await?;
         let deleted = self.lock().store.delete(key, expected);
         self.finish_write(deleted)
@@ -200,25 +210,30 @@
         Ok(self.lock().store.list(prefix))
     }
 
-    async fn grant_lease(&self, ttl: Duration) -> PlatformResult<u64> {
+    async fn grant_lease(&self, ttl: Duration) -> PlatformResult<Lease> {
         self.begin_call(CallKind::Write).await?;
         let lease = self.lock().store.grant_lease(ttl, Instant::now());
         self.finish_write(lease)
     }
 
-    async fn renew_lease(&self, lease: u64) -> PlatformResult<bool> {
+    async fn renew_lease(&self, lease: Lease) -> PlatformResult<bool> {
         self.begin_call(CallKind::Write).await?;
         let renewed = self.lock().store.renew_lease(lease, Instant::now());
         self.finish_write(renewed)
     }
 
-    async fn revoke_lease(&self, lease: u64) -> PlatformResult<()> {
+    async fn revoke_lease(&self, lease: Lease) -> PlatformResult<()> {
         self.begin_call(CallKind::Write).await?;
         self.lock().store.revoke_lease(lease);
         self.finish_write(())
     }
 
-    async fn watch(&self, key: &str, after: u64, wait: Duration) -> PlatformResult<Option<Value>> {
+    async fn watch(
+        &self,
+        key: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> PlatformResult<Option<Value>> {
         self.begin_call(CallKind::Read).await?;
         let deadline = Instant::now() + wait;
         loop {
@@ -229,7 +244,7 @@
                 return Err(PlatformError::Indeterminate);
             }
             let value = self.lock().store.get(key);
-            if let Some(value) = value.filter(|v| v.revision != after) {
+            if let Some(value) = value.filter(|v| v.revision.number != after.number) {
                 return Ok(Some(value));
             }
             if tokio::time::timeout_at(deadline, changed).await.is_err() {
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -15,10 +15,11 @@
 use super::platform::MemoryPlatform;
 use super::store::VALUE_MAX_BYTES;
 use crate::protocol::dialect::header_number;
+use crate::state::revision::{Lease, Revision};
 use crate::transport::http::{
     Endpoint, body_response, empty_response, json_response, query_number, read_body,
 };
-use crate::transport::kv::{EXPECT_HEADER, LEASE_HEADER, REVISION_HEADER};
+use crate::transport::kv::{ERA_HEADER, EXPECT_HEADER, LEASE_HEADER, REVISION_HEADER};
 use crate::transport::platform::{Platform, PlatformError, Value};
 
 /// HTTP endpoint of the platform stand-in.
@@ -54,15 +55,29 @@
             (&Method::DELETE, "lease") => self.revoke_lease(rest).await,
             _ => return text_response(StatusCode::NOT_FOUND, "unknown path or method"),
         };
-        result.unwrap_or_else(|e| match e {
+        let mut response = result.unwrap_or_else(|e| match e {
             PlatformError::Indeterminate => empty_response(StatusCode::INTERNAL_SERVER_ERROR),
             PlatformError::Rejected(reason) => text_response(StatusCode::TOO_MANY_REQUESTS, reason),
             PlatformError::Compacted => empty_response(StatusCode::GONE),
-        })
+        });
+        let era = HeaderValue::from(self.0.era().0);
+        response.headers_mut().insert(ERA_HEADER, era);
+        response
     }
 }
 
 impl PlatformServer {
+    /// A revision of the current era, since a request names only the number.
+    fn revision(&self, number: u64) -> Revision {
+        Revision::new(self.0.era(), number)
+    }
+
+    /// A lease of the current era.
+    fn lease(&self, number: u64) -> Lease {
+        let era = self.0.era();
+        Lease { era, number }
+    }
+
     fn set_faults(&self, body: &str) -> Response<Body> {
         match serde_json::from_str::<PlatformFaults>(body) {
             Ok(faults) => {
@@ -84,17 +99,17 @@
                 "value exceeds the limit of 1 MiB",
             ));
         }
-        let expected = header_number(headers, EXPECT_HEADER).unwrap_or(0);
-        let lease = header_number(headers, LEASE_HEADER);
+        let expected = self.revision(header_number(headers, EXPECT_HEADER).unwrap_or(0));
+        let lease = header_number(headers, LEASE_HEADER).map(|number| self.lease(number));
         let swapped = self.0.compare_and_swap(key, value, expected, lease).await?;
         Ok(match swapped {
-            Some(revision) => with_revision(empty_response(StatusCode::OK), revision),
+            Some(revision) => with_revision(empty_response(StatusCode::OK), revision.number),
             None => empty_response(StatusCode::PRECONDITION_FAILED),
         })
     }
 
     async fn delete(&self, key: &str, headers: &HeaderMap) -> HandlerResult {
-        let expected = header_number(headers, EXPECT_HEADER).unwrap_or(0);
+        let expected = self.revision(header_number(headers, EXPECT_HEADER).unwrap_or(0));
         Ok(empty_response(match self.0.delete(key, expected).await? {
             true => StatusCode::OK,
             false => StatusCode::PRECONDITION_FAILED,
@@ -103,13 +118,13 @@
 
     async fn list(&self, prefix: &str) -> HandlerResult {
         let listed = self.0.list(prefix).await?;
-        let item = |(key, v): &(String, Value)| json!({ "key": key, "value": v.text, "revision": v.revision });
+        let item = |(key, v): &(String, Value)| json!({ "key": key, "value": v.text, "revision": v.revision.number });
         let items: Vec<_> = listed.iter().map(item).collect();
         Ok(json_response(StatusCode::OK, &items))
     }
 
     async fn watch(&self, key: &str, query: &str) -> HandlerResult {
-        let after = query_number(query, "after").unwrap_or(0);
+        let after = self.revision(query_number(query, "after").unwrap_or(0));
         let wait = Duration::from_millis(query_number(query, "wait").unwrap_or(0));
         let changed = self.0.watch(key, after, wait).await?;
         Ok(match changed {
@@ -121,11 +136,14 @@
     async fn grant_lease(&self, query: &str) -> HandlerResult {
         let ttl = Duration::from_millis(query_number(query, "ttl").unwrap_or(1000));
         let lease = self.0.grant_lease(ttl).await?;
-        Ok(text_response(StatusCode::OK, lease.to_string()))
+        Ok(text_response(StatusCode::OK, lease.number.to_string()))
     }
 
     async fn renew_lease(&self, lease: &str) -> HandlerResult {
-        let renewed = self.0.renew_lease(lease.parse().unwrap_or(0)).await?;
+        let renewed = self
+            .0
+            .renew_lease(self.lease(lease.parse().unwrap_or(0)))
+            .await?;
         Ok(empty_response(match renewed {
             true => StatusCode::OK,
             false => StatusCode::NOT_FOUND,
@@ -133,14 +151,19 @@
     }
 
     async fn revoke_lease(&self, lease: &str) -> HandlerResult {
-        self.0.revoke_lease(lease.parse().unwrap_or(0)).await?;
+        self.0
+            .revoke_lease(self.lease(lease.parse().unwrap_or(0)))
+            .await?;
         Ok(empty_response(StatusCode::OK))
     }
 }
 
 fn value_response(value: Option<Value>) -> Response<Body> {
     match value {
-        Some(value) => with_revision(text_response(StatusCode::OK, value.text), value.revision),
+        Some(value) => with_revision(
+            text_response(StatusCode::OK, value.text),
+            value.revision.number,
+        ),
         None => empty_response(StatusCode::NOT_FOUND),
     }
 }
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use crate::state::revision::{Era, Lease, Revision};
 use crate::transport::platform::Value;
 
 /// Maximum size of a value.
@@ -17,7 +18,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Lease {
+struct LeaseTerm {
     ttl: Duration,
     expires: Instant,
 }
@@ -35,7 +36,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Store {
     entries: BTreeMap<String, Entry>,
-    leases: HashMap<u64, Lease>,
+    leases: HashMap<u64, LeaseTerm>,
+    era: Era,
     revision: u64,
     next_lease: u64,
     /// Number of calls since the start. Updated by
@@ -44,47 +46,62 @@
 }
 
 impl Store {
+    /// Number of times that the store has come back from an older copy.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Comes back from an older copy of the store: a new era starts, in which the revisions and
+    /// leases after the copy are given out again.
+    pub fn come_back_from(&mut self, copy: Store) {
+        *self = Store {
+            era: Era(self.era.0 + 1),
+            call_counts: self.call_counts,
+            ..copy
+        };
+    }
+
     /// Reads a key.
     pub fn get(&self, key: &str) -> Option<Value> {
-        self.entries.get(key).map(|e| e.value.clone())
+        self.entries.get(key).map(|e| self.read(e))
     }
 
     /// Reads all keys with a prefix.
     pub fn list(&self, prefix: &str) -> Vec<(String, Value)> {
         let following = self.entries.range(prefix.to_string()..);
         let matching = following.take_while(|(k, _)| k.starts_with(prefix));
-        matching
-            .map(|(k, e)| (k.clone(), e.value.clone()))
-            .collect()
+        matching.map(|(k, e)| (k.clone(), self.read(e))).collect()
     }
 
-    /// Writes a key if its revision is the expected one (zero if the key is absent) and the lease,
-    /// if given, still exists. Returns the new revision, or `None` if nothing was written.
+    /// Writes a key if its revision has the expected number (zero if the key is absent) and the
+    /// lease, if given, still exists. Like the platform, it knows nothing of the expected era. Returns the new revision, or `None` if nothing was written.
     pub fn compare_and_swap(
         &mut self,
         key: &str,
         text: &str,
-        expected: u64,
-        lease: Option<u64>,
-    ) -> Option<u64> {
+        expected: Revision,
+        lease: Option<Lease>,
+    ) -> Option<Revision> {
+        let lease = lease.map(|l| l.number);
         if lease.is_some_and(|l| !self.leases.contains_key(&l)) {
             return None;
         }
-        if self.revision_of(key) != expected {
+        if self.revision_of(key) != expected.number {
             return None;
         }
         self.revision += 1;
+        let revision = Revision::new(self.era, self.revision);
         let value = Value {
             text: text.to_string(),
-            revision: self.revision,
+            revision,
         };
         self.entries.insert(key.to_string(), Entry { value, lease });
-        Some(self.revision)
+        Some(revision)
     }
 
     /// Removes a key if it exists and its revision is the expected one. Returns whether it did.
-    pub fn delete(&mut self, key: &str, expected: u64) -> bool {
-        let matches = expected > 0 && self.revision_of(key) == expected;
+    pub fn delete(&mut self, key: &str, expected: Revision) -> bool {
+        let matches = expected.number > 0 && self.revision_of(key) == expected.number;
         if matches {
             self.revision += 1;
             self.entries.remove(key);
@@ -92,36 +109,44 @@
         matches
     }
 
-    /// Grants a lease that expires after `ttl` unless it is renewed. Returns its id.
-    pub fn grant_lease(&mut self, ttl: Duration, now: Instant) -> u64 {
+    /// Grants a lease that expires after `ttl` unless it is renewed.
+    pub fn grant_lease(&mut self, ttl: Duration, now: Instant) -> Lease {
         self.next_lease += 1;
         let expires = now + ttl;
-        self.leases.insert(self.next_lease, Lease { ttl, expires });
-        self.next_lease
+        let term = LeaseTerm { ttl, expires };
+        self.leases.insert(self.next_lease, term);
+        Lease {
+            era: self.era,
+            number: self.next_lease,
+        }
     }
 
     /// Renews a lease. Returns whether it still exists.
-    pub fn renew_lease(&mut self, lease: u64, now: Instant) -> bool {
-        let found = self.leases.get_mut(&lease);
+    pub fn renew_lease(&mut self, lease: Lease, now: Instant) -> bool {
+        let found = self.leases.get_mut(&lease.number);
         found.map(|l| l.expires = now + l.ttl).is_some()
     }
 
     /// Removes a lease and the keys attached to it.
-    pub fn revoke_lease(&mut self, lease: u64) {
-        self.leases.remove(&lease);
-        self.entries.retain(|_, e| e.lease != Some(lease));
+    pub fn revoke_lease(&mut self, lease: Lease) {
+        self.remove_lease(lease.number);
+    }
+
+    fn remove_lease(&mut self, number: u64) {
+        self.leases.remove(&number);
+        self.entries.retain(|_, e| e.lease != Some(number));
     }
 
     /// Removes expired leases and their keys.
     pub fn expire_leases(&mut self, now: Instant) {
-        let expired = |(_, l): &(&u64, &Lease)| l.expires <= now;
+        let expired = |(_, l): &(&u64, &LeaseTerm)| l.expires <= now;
         let expired: Vec<u64> = self
             .leases
             .iter()
             .filter(expired)
             .map(|(id, _)| *id)
             .collect();
-        expired.into_iter().for_each(|l| self.revoke_lease(l));
+        expired.into_iter().for_each(|l| self.remove_lease(l));
     }
 
     /// Extends every lease by the given time. This simulates a stopped lease clock.
@@ -129,7 +154,15 @@
         self.leases.values_mut().for_each(|l| l.expires += by);
     }
 
+    /// Returns the value of an entry, whose revision belongs to the era in which it is read.
+    fn read(&self, entry: &Entry) -> Value {
+        Value {
+            text: entry.value.text.clone(),
+            revision: Revision::new(self.era, entry.value.revision.number),
+        }
+    }
+
     fn revision_of(&self, key: &str) -> u64 {
-        self.entries.get(key).map_or(0, |e| e.value.revision)
+        self.entries.get(key).map_or(0, |e| e.value.revision.number)
     }
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,6 +8,7 @@
 pub mod member;
 pub mod object;
 pub mod rate;
+pub mod revision;
 pub mod routing;
 pub mod settings;
 pub mod snapshot;
--- a/src/transport/counted.rs
+++ b/src/transport/counted.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::family::Family;
 use tokio::time::Instant;
 
+use crate::state::revision::{Era, Lease, Revision};
+
 use super::platform::{Document, DocumentUpdate, Platform, PlatformResult, Value};
 
 /// An operation of the platform.
@@ -98,12 +100,20 @@
         self.platform.dialect()
     }
 
+    fn era(&self) -> Era {
+        self.platform.era()
+    }
+
     async fn read_document(&self) -> PlatformResult<Option<Document>> {
         let call = self.platform.read_document();
         self.record(Operation::ReadDocument, call).await
     }
 
-    async fn watch_document(&self, after: u64, wait: Duration) -> PlatformResult<DocumentUpdate> {
+    async fn watch_document(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> PlatformResult<DocumentUpdate> {
         let call = self.platform.watch_document(after, wait);
         self.record(Operation::WatchDocument, call).await
     }
@@ -116,14 +126,14 @@
         &self,
         key: &str,
         value: &str,
-        expected: u64,
-        lease: Option<u64>,
-    ) -> PlatformResult<Option<u64>> {
+        expected: Revision,
+        lease: Option<Lease>,
+    ) -> PlatformResult<Option<Revision>> {
         let call = self.platform.compare_and_swap(key, value, expected, lease);
         self.record(Operation::CompareAndSwap, call).await
     }
 
-    async fn delete(&self, key: &str, expected: u64) -> PlatformResult<bool> {
+    async fn delete(&self, key: &str, expected: Revision) -> PlatformResult<bool> {
         let call = self.platform.delete(key, expected);
         self.record(Operation::Delete, call).await
     }
@@ -133,22 +143,27 @@
         self.record(Operation::List, call).await
     }
 
-    async fn grant_lease(&self, ttl: Duration) -> PlatformResult<u64> {
+    async fn grant_lease(&self, ttl: Duration) -> PlatformResult<Lease> {
         let call = self.platform.grant_lease(ttl);
         self.record(Operation::GrantLease, call).await
     }
 
-    async fn renew_lease(&self, lease: u64) -> PlatformResult<bool> {
+    async fn renew_lease(&self, lease: Lease) -> PlatformResult<bool> {
         let call = self.platform.renew_lease(lease);
         self.record(Operation::RenewLease, call).await
     }
 
-    async fn revoke_lease(&self, lease: u64) -> PlatformResult<()> {
+    async fn revoke_lease(&self, lease: Lease) -> PlatformResult<()> {
         let call = self.platform.revoke_lease(lease);
         self.record(Operation::RevokeLease, call).await
     }
 
-    async fn watch(&self, key: &str, after: u64, wait: Duration) -> PlatformResult<Option<Value>> {
+    async fn watch(
+        &self,
+        key: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> PlatformResult<Option<Value>> {
         let call = self.platform.watch(key, after, wait);
         self.record(Operation::Watch, call).await
     }
--- a/src/transport/kv.rs
+++ b/src/transport/kv.rs
@@ -8,12 +8,16 @@
 use serde::Deserialize;
 
 use super::client::{HttpClient, SendError};
+use super::era::EraTracker;
 use super::http::{full_body, read_body};
 use super::platform::{Platform, PlatformError, PlatformResult, Value};
-use crate::protocol::dialect::NativeDialect;
+use crate::protocol::dialect::{NativeDialect, header_number};
+use crate::state::revision::{Era, Lease, Revision};
 
 /// Header with the revision of the value read or written.
 pub const REVISION_HEADER: &str = "kv-revision";
+/// Header with the era of the store.
+pub const ERA_HEADER: &str = "kv-era";
 /// Header with the revision that a key must have for a write to succeed.
 pub const EXPECT_HEADER: &str = "kv-expect";
 /// Header with the lease to which a written key is attached.
@@ -28,6 +32,7 @@
 pub struct HttpPlatform {
     address: SocketAddr,
     client: HttpClient,
+    era: EraTracker,
 }
 
 #[derive(Deserialize)]
@@ -43,11 +48,11 @@
         HttpPlatform {
             address,
             client: HttpClient::default(),
+            era: EraTracker::default(),
         }
     }
 
     /// Sends a request, and waits for the response at most for [`CALL_TIMEOUT`] plus `wait`.
-    /// Returns the same values as [`read_response`].
     async fn call(
         &self,
         method: Method,
@@ -55,7 +60,7 @@
         headers: &[(&'static str, u64)],
         body: String,
         wait: Duration,
-    ) -> PlatformResult<(StatusCode, u64, String)> {
+    ) -> PlatformResult<KvResponse> {
         let mut request = Request::builder().method(method).uri(path);
         for (name, value) in headers {
             request = request.header(*name, value.to_string());
@@ -69,6 +74,9 @@
                 .send(self.address, request)
                 .await
                 .map_err(platform_error)?;
+            if let Some(era) = header_number(response.headers(), ERA_HEADER) {
+                self.era.observe(Era(era));
+            }
             read_response(response).await
         };
         tokio::time::timeout(CALL_TIMEOUT + wait, response)
@@ -77,6 +85,31 @@
     }
 }
 
+/// A response of the service.
+struct KvResponse {
+    status: StatusCode,
+    /// Era in which the service responded; zero if it does not tell.
+    era: Era,
+    /// The revision header; zero if absent.
+    number: u64,
+    text: String,
+}
+
+impl KvResponse {
+    fn revision(&self) -> Revision {
+        Revision::new(self.era, self.number)
+    }
+
+    /// The value in a response with status 200.
+    fn into_value(self) -> Option<Value> {
+        let revision = self.revision();
+        (self.status == StatusCode::OK).then_some(Value {
+            text: self.text,
+            revision,
+        })
+    }
+}
+
 fn platform_error(e: SendError) -> PlatformError {
     match e {
         SendError::NotSent => PlatformError::Rejected(
@@ -86,11 +119,11 @@
     }
 }
 
-/// Returns the status, the revision header (zero if absent) and the body.
-async fn read_response(response: Response<Body>) -> PlatformResult<(StatusCode, u64, String)> {
+/// Reads the body of a response, and checks the status.
+async fn read_response(response: Response<Body>) -> PlatformResult<KvResponse> {
     let status = response.status();
-    let revision = response.headers().get(REVISION_HEADER);
-    let revision = revision.and_then(|v| v.to_str().ok()?.parse().ok());
+    let number = header_number(response.headers(), REVISION_HEADER).unwrap_or(0);
+    let era = Era(header_number(response.headers(), ERA_HEADER).unwrap_or(0));
     let bytes = read_body(response.into_body(), RESPONSE_MAX_BYTES).await;
     let bytes = bytes.map_err(|_| PlatformError::Indeterminate)?;
     let text = String::from_utf8_lossy(&bytes).into_owned();
@@ -103,7 +136,12 @@
         }
         _ => return Err(PlatformError::Indeterminate),
     }
-    Ok((status, revision.unwrap_or(0), text))
+    Ok(KvResponse {
+        status,
+        era,
+        number,
+        text,
+    })
 }
 
 fn kv_path(key: &str) -> String {
@@ -117,22 +155,25 @@
         &NativeDialect
     }
 
+    fn era(&self) -> Era {
+        self.era.current()
+    }
+
     async fn get(&self, key: &str) -> PlatformResult<Option<Value>> {
         let no_wait = Duration::ZERO;
         let call = self.call(Method::GET, kv_path(key), &[], String::new(), no_wait);
-        let (status, revision, text) = call.await?;
-        Ok((status == StatusCode::OK).then_some(Value { text, revision }))
+        Ok(call.await?.into_value())
     }
 
     async fn compare_and_swap(
         &self,
         key: &str,
         value: &str,
-        expected: u64,
-        lease: Option<u64>,
-    ) -> PlatformResult<Option<u64>> {
-        let mut headers = vec![(EXPECT_HEADER, expected)];
-        headers.extend(lease.map(|l| (LEASE_HEADER, l)));
+        expected: Revision,
+        lease: Option<Lease>,
+    ) -> PlatformResult<Option<Revision>> {
+        let mut headers = vec![(EXPECT_HEADER, expected.number)];
+        headers.extend(lease.map(|l| (LEASE_HEADER, l.number)));
         let no_wait = Duration::ZERO;
         let call = self.call(
             Method::PUT,
@@ -141,12 +182,12 @@
             value.to_string(),
             no_wait,
         );
-        let (status, revision, _) = call.await?;
-        Ok((status == StatusCode::OK).then_some(revision))
+        let response = call.await?;
+        Ok((response.status == StatusCode::OK).then_some(response.revision()))
     }
 
-    async fn delete(&self, key: &str, expected: u64) -> PlatformResult<bool> {
-        let headers = [(EXPECT_HEADER, expected)];
+    async fn delete(&self, key: &str, expected: Revision) -> PlatformResult<bool> {
+        let headers = [(EXPECT_HEADER, expected.number)];
         let no_wait = Duration::ZERO;
         let call = self.call(
             Method::DELETE,
@@ -155,59 +196,69 @@
             String::new(),
             no_wait,
         );
-        Ok(call.await?.0 == StatusCode::OK)
+        Ok(call.await?.status == StatusCode::OK)
     }
 
     async fn list(&self, prefix: &str) -> PlatformResult<Vec<(String, Value)>> {
         let path = format!("/list/{prefix}");
         let no_wait = Duration::ZERO;
-        let (_, _, text) = self
+        let response = self
             .call(Method::GET, path, &[], String::new(), no_wait)
             .await?;
         let listed: Vec<ListedItem> =
-            serde_json::from_str(&text).map_err(|_| PlatformError::Indeterminate)?;
+            serde_json::from_str(&response.text).map_err(|_| PlatformError::Indeterminate)?;
         let key_and_value = |item: ListedItem| {
             let value = Value {
                 text: item.value,
-                revision: item.revision,
+                revision: Revision::new(response.era, item.revision),
             };
             (item.key, value)
         };
         Ok(listed.into_iter().map(key_and_value).collect())
     }
 
-    async fn grant_lease(&self, ttl: Duration) -> PlatformResult<u64> {
+    async fn grant_lease(&self, ttl: Duration) -> PlatformResult<Lease> {
         let path = format!("/lease?ttl={}", ttl.as_millis());
         let no_wait = Duration::ZERO;
-        let (_, _, text) = self
+        let response = self
             .call(Method::POST, path, &[], String::new(), no_wait)
             .await?;
-        text.trim()
-            .parse()
-            .map_err(|_| PlatformError::Indeterminate)
+        let number = response.text.trim().parse();
+        Ok(Lease {
+            era: response.era,
+            number: number.map_err(|_| PlatformError::Indeterminate)?,
+        })
     }
 
-    async fn renew_lease(&self, lease: u64) -> PlatformResult<bool> {
-        let path = format!("/lease/{lease}");
+    async fn renew_lease(&self, lease: Lease) -> PlatformResult<bool> {
+        let path = format!("/lease/{}", lease.number);
         let no_wait = Duration::ZERO;
-        let (status, _, _) = self
+        let response = self
             .call(Method::POST, path, &[], String::new(), no_wait)
             .await?;
-        Ok(status == StatusCode::OK)
+        Ok(response.status == StatusCode::OK)
     }
 
-    async fn revoke_lease(&self, lease: u64) -> PlatformResult<()> {
-        let path = format!("/lease/{lease}");
+    async fn revoke_lease(&self, lease: Lease) -> PlatformResult<()> {
+        let path = format!("/lease/{}", lease.number);
         let no_wait = Duration::ZERO;
         self.call(Method::DELETE, path, &[], String::new(), no_wait)
             .await?;
         Ok(())
     }
 
-    async fn watch(&self, key: &str, after: u64, wait: Duration) -> PlatformResult<Option<Value>> {
-        let path = format!("/watch/{key}?after={after}&wait={}", wait.as_millis());
+    async fn watch(
+        &self,
+        key: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> PlatformResult<Option<Value>> {
+        let path = format!(
+            "/watch/{key}?after={}&wait={}",
+            after.number,
+            wait.as_millis()
+        );
         let call = self.call(Method::GET, path, &[], String::new(), wait);
-        let (status, revision, text) = call.await?;
-        Ok((status == StatusCode::OK).then_some(Value { text, revision }))
+        Ok(call.await?.into_value())
     }
 }
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -9,6 +9,7 @@
 use derive_more::{Display, Error};
 
 use crate::protocol::dialect::Dialect;
+use crate::state::revision::{Era, Lease, Revision};
 use crate::state::snapshot::Snapshot;
 
 /// A value and the revision of its last write.
@@ -16,8 +17,8 @@
 pub struct Value {
     /// The value, which is always text.
     pub text: String,
-    /// Revision of the last write. Each write to any key has a higher revision than all before.
-    pub revision: u64,
+    /// Revision of the last write.
+    pub revision: Revision,
 }
 
 /// Why a call to the platform failed.
@@ -40,7 +41,7 @@
     /// The configuration.
     pub snapshot: Arc<Snapshot>,
     /// The revision after which a watch must start.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The result of a watch on the operator's document.
@@ -49,7 +50,7 @@
     /// The newest document, if it changed.
     pub document: Option<Arc<Snapshot>>,
     /// The revision after which the next watch must start.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The result of a call to the platform.
@@ -68,6 +69,9 @@
     /// The headers and statuses that callers and targets use.
     fn dialect(&self) -> &Self::Dialect;
 
+    /// The newest era that the platform's responses have shown.
+    fn era(&self) -> Era;
+
     /// Reads the operator's document; `None` if it does not exist yet.
     fn read_document(&self) -> impl Future<Output = PlatformResult<Option<Document>>> + Send {
         async { Ok(None) }
@@ -76,7 +80,7 @@
     /// Waits at most `wait` until the operator's document changes after the revision `after`.
     fn watch_document(
         &self,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> impl Future<Output = PlatformResult<DocumentUpdate>> + Send {
         async move {
@@ -90,20 +94,22 @@
     /// Reads the value of a key.
     fn get(&self, key: &str) -> impl Future<Output = PlatformResult<Option<Value>>> + Send;
 
-    /// Writes a key if its current revision is `expected`, where zero means that the key does not
-    /// exist. Attaches the key to `lease` if one is given. Returns the new revision, or `None` if the
+    /// Writes a key if its current revision is `expected`. Attaches the key to `lease` if one is given. Returns the new revision, or `None` if the
     /// current revision was a different one.
     fn compare_and_swap(
         &self,
         key: &str,
         value: &str,
-        expected: u64,
-        lease: Option<u64>,
-    ) -> impl Future<Output = PlatformResult<Option<u64>>> + Send;
+        expected: Revision,
+        lease: Option<Lease>,
+    ) -> impl Future<Output = PlatformResult<Option<Revision>>> + Send;
 
     /// Deletes a key if its current revision is `expected`. Returns whether the key was deleted.
-    fn delete(&self, key: &str, expected: u64)
-    -> impl Future<Output = PlatformResult<bool>> + Send;
+    fn delete(
+        &self,
+        key: &str,
+        expected: Revision,
+    ) -> impl Future<Output = PlatformResult<bool>> + Send;
 
     /// Reads all keys with a prefix. The result may be some seconds old.
     fn list(
@@ -112,20 +118,20 @@
     ) -> impl Future<Output = PlatformResult<Vec<(String, Value)>>> + Send;
 
     /// Creates a lease. The keys attached to it are deleted when it expires.
-    fn grant_lease(&self, ttl: Duration) -> impl Future<Output = PlatformResult<u64>> + Send;
+    fn grant_lease(&self, ttl: Duration) -> impl Future<Output = PlatformResult<Lease>> + Send;
 
     /// Renews a lease. Returns whether the lease still existed.
-    fn renew_lease(&self, lease: u64) -> impl Future<Output = PlatformResult<bool>> + Send;
+    fn renew_lease(&self, lease: Lease) -> impl Future<Output = PlatformResult<bool>> + Send;
 
     /// Revokes a lease. The keys attached to it are deleted.
-    fn revoke_lease(&self, lease: u64) -> impl Future<Output = PlatformResult<()>> + Send;
+    fn revoke_lease(&self, lease: Lease) -> impl Future<Output = PlatformResult<()>> + Send;
 
     /// Waits at most `wait` until the revision of a key exceeds `after`. Returns the value, or
     /// `None` if the key did not change.
     fn watch(
         &self,
         key: &str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> impl Future<Output = PlatformResult<Option<Value>>> + Send;
 }
--- a/tests/fuzz_claims.rs
+++ b/tests/fuzz_claims.rs
@@ -15,6 +15,7 @@
 use tarragoncourse::protocol::record::{decode_claim_table, encode_claim_table};
 use tarragoncourse::standin::store::Store;
 use tarragoncourse::state::id::AttemptId;
+use tarragoncourse::state::revision::Revision;
 
 const TABLE_KEY: &str = "claims/00";
 
@@ -32,7 +33,7 @@
     pending: Vec<PendingBatch>,
     /// Claim tables whose write takes effect after the sender's timeout, with the expected
     /// revision.
-    delayed_writes: Vec<(String, u64)>,
+    delayed_writes: Vec<(String, Revision)>,
     last_attempt: u128,
     /// Number of grants of each key within its retention period, and the time of the first in
     /// seconds since the Unix epoch.
@@ -80,10 +81,10 @@
     }
 
     /// Claim table in the store and its revision.
-    fn read_table(&self) -> (ClaimTable, u64) {
+    fn read_table(&self) -> (ClaimTable, Revision) {
         match self.store.get(TABLE_KEY) {
             Some(value) => (decode_claim_table(&value.text).unwrap(), value.revision),
-            None => (ClaimTable::default(), 0),
+            None => (ClaimTable::default(), Revision::ABSENT),
         }
     }
 
@@ -93,7 +94,7 @@
         &mut self,
         u: &mut Unstructured,
         table: &ClaimTable,
-        revision: u64,
+        revision: Revision,
         counts: &mut Counts,
     ) -> Option<bool> {
         let text = encode_claim_table(table);
--- a/tests/support/fleet_model.rs
+++ b/tests/support/fleet_model.rs
@@ -20,6 +20,7 @@
 use tarragoncourse::state::digest::Digest;
 use tarragoncourse::state::id::{ChangeId, Path, Version};
 use tarragoncourse::state::object::{Object, Service, TargetSettings};
+use tarragoncourse::state::revision::Revision;
 use tarragoncourse::state::snapshot::{Delta, Edit, Snapshot};
 use tokio::time::Instant;
 
@@ -54,7 +55,7 @@
     PlatformRead(SocketAddr, u64),
     /// Compare-and-swap of the head that takes effect after the sender's timeout: new value,
     /// expected revision.
-    DelayedSwap(String, u64),
+    DelayedSwap(String, Revision),
 }
 
 /// Change requested by an operator, and the commit's next step.
@@ -148,14 +149,14 @@
     }
 
     /// Head in the store and its revision.
-    pub fn read_head(&self) -> Option<(Head, u64)> {
+    pub fn read_head(&self) -> Option<(Head, Revision)> {
         let value = self.store.get(HEAD_KEY)?;
         Some((decode_head(&value.text).unwrap(), value.revision))
     }
 
     /// Swaps the head if its revision matches. Checks after every successful swap that the version
     /// grew by one and that the change was neither accepted before nor reported as rejected.
-    pub fn swap_head(&mut self, text: &str, revision: u64) -> bool {
+    pub fn swap_head(&mut self, text: &str, revision: Revision) -> bool {
         let swapped = self
             .store
             .compare_and_swap(HEAD_KEY, text, revision, None)
@@ -471,7 +472,7 @@
             CommitStep::WriteRecord(record) => {
                 let key = change_key(record.delta.version, record.delta.change);
                 self.store
-                    .compare_and_swap(&key, &encode_change(&record), 0, None);
+                    .compare_and_swap(&key, &encode_change(&record), Revision::ABSENT, None);
                 CommitEvent::RecordWritten(if response_lost {
                     Err(Indeterminate)
                 } else {
--- a/tests/test_slots.rs
+++ b/tests/test_slots.rs
@@ -9,6 +9,7 @@
 };
 use tarragoncourse::state::id::Incarnation;
 use tarragoncourse::state::member::{Health, MemberRecord, MemberTable};
+use tarragoncourse::state::revision::{Era, Lease};
 use tokio::time::Instant;
 
 /// Address of node `n`.
@@ -17,6 +18,14 @@
     SocketAddr::from(([10, 0, a, b], 7000))
 }
 
+/// Lease of the first era.
+fn lease(number: u64) -> Lease {
+    Lease {
+        era: Era(1),
+        number,
+    }
+}
+
 /// Members of one zone; the first `watchers` of them hold a slot.
 fn member_table(nodes: usize, watchers: usize) -> MemberTable {
     let mut table = MemberTable::default();
@@ -94,16 +103,16 @@
     let table = member_table(1, 0);
     let start = Instant::now();
     let mut slot = WatcherSlot::new(start);
-    slot.record_acquired(0, 9, start);
+    slot.record_acquired(0, lease(9), start);
     assert!(slot.held(start + LEASE_TTL / 2).is_some());
     let renewal_time = start + RENEW_PERIOD;
     assert_eq!(
         slot.next_step(&table, "a", address(0), renewal_time),
-        SlotStep::Renew(9)
+        SlotStep::Renew(lease(9))
     );
     // The renewal was sent before the pause, and its response arrived after it. The duration of the
     // lease counts from the time at which the renewal was sent.
-    slot.record_renewed(9, renewal_time);
+    slot.record_renewed(lease(9), renewal_time);
     let resumed_at = renewal_time + LEASE_TTL + Duration::from_secs(1);
     assert!(slot.held(resumed_at).is_none());
     assert!(matches!(
@@ -118,11 +127,11 @@
     let now = Instant::now();
     let step = |n: usize| {
         let mut slot = WatcherSlot::new(now);
-        slot.record_acquired(0, 5, now);
+        slot.record_acquired(0, lease(5), now);
         slot.next_step(&table, "a", address(n), now)
     };
     let released = (0..500)
-        .filter(|n| step(*n) == SlotStep::Release(5))
+        .filter(|n| step(*n) == SlotStep::Release(lease(5)))
         .count();
     assert!(
         released > 480,
