Watch again from the start after the store has come back

Callers could be served by an older configuration for as long as no further change came: a version confirmed after the store had come back from an older copy was not put in force.

Cause: a watch continues at a revision. Once the store has passed that revision again it answers as if nothing had happened, and the versions written below it are in no later watch.

Change: a position of an earlier era counts as compacted history, so the document, or the head, is read again. After the delay that follows a change the first watch does not wait, since only a response shows the era; that is one call more for each change and watcher. On our own service the request names the era of its revision.

--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -169,6 +169,7 @@
     /// of watcher slots in a large one.
     async fn watch_document(self: Arc<Self>) {
         let mut revision = None;
+        let mut wait = DOCUMENT_WATCH_TIMEOUT;
         loop {
             if !self.should_watch_document() {
                 revision = None;
@@ -177,11 +178,7 @@
             }
             let found = match revision {
                 None => self.read_document().await,
-                Some(after) => {
-                    self.platform
-                        .watch_document(after, DOCUMENT_WATCH_TIMEOUT)
-                        .await
-                }
+                Some(after) => self.platform.watch_document(after, wait).await,
             };
             let delay = match found {
                 Ok(update) => {
@@ -190,7 +187,7 @@
                     self.handle_document_update(&update)
                 }
                 Err(e) => {
-                    // The platform did respond, but has compacted the revision to watch from.
+                    // The platform did respond, but does not have the history to watch.
                     if e != PlatformError::Compacted {
                         self.record_document_failure(&e);
                     }
@@ -200,6 +197,12 @@
             };
             self.first_read.notify_one();
             tokio::time::sleep(delay).await;
+            // The store may have come back from an older copy during the delay, which only a
+            // response shows.
+            wait = match delay.is_zero() {
+                true => DOCUMENT_WATCH_TIMEOUT,
+                false => Duration::ZERO,
+            };
         }
     }
 
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -244,7 +244,7 @@
                 return Err(PlatformError::Indeterminate);
             }
             let value = self.lock().store.get(key);
-            if let Some(value) = value.filter(|v| v.revision.number != after.number) {
+            if let Some(value) = value.filter(|v| v.revision != after) {
                 return Ok(Some(value));
             }
             if tokio::time::timeout_at(deadline, changed).await.is_err() {
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -15,7 +15,7 @@
 use super::platform::MemoryPlatform;
 use super::store::VALUE_MAX_BYTES;
 use crate::protocol::dialect::header_number;
-use crate::state::revision::{Lease, Revision};
+use crate::state::revision::{Era, Lease, Revision};
 use crate::transport::http::{
     Endpoint, body_response, empty_response, json_response, query_number, read_body,
 };
@@ -49,7 +49,7 @@
             (&Method::PUT, "kv") => self.put(rest, &body, &parts.headers).await,
             (&Method::DELETE, "kv") => self.delete(rest, &parts.headers).await,
             (&Method::GET, "list") => self.list(rest).await,
-            (&Method::GET, "watch") => self.watch(rest, query).await,
+            (&Method::GET, "watch") => self.watch(rest, query, &parts.headers).await,
             (&Method::POST, "lease") if rest.is_empty() => self.grant_lease(query).await,
             (&Method::POST, "lease") => self.renew_lease(rest).await,
             (&Method::DELETE, "lease") => self.revoke_lease(rest).await,
@@ -67,9 +67,10 @@
 }
 
 impl PlatformServer {
-    /// A revision of the current era, since a request names only the number.
-    fn revision(&self, number: u64) -> Revision {
-        Revision::new(self.0.era(), number)
+    /// The revision that a request names, by default one of the current era.
+    fn revision(&self, number: u64, headers: &HeaderMap) -> Revision {
+        let era = header_number(headers, ERA_HEADER).map(Era);
+        Revision::new(era.unwrap_or(self.0.era()), number)
     }
 
     /// A lease of the current era.
@@ -99,7 +100,8 @@
                 "value exceeds the limit of 1 MiB",
             ));
         }
-        let expected = self.revision(header_number(headers, EXPECT_HEADER).unwrap_or(0));
+        let expected = header_number(headers, EXPECT_HEADER).unwrap_or(0);
+        let expected = self.revision(expected, headers);
         let lease = header_number(headers, LEASE_HEADER).map(|number| self.lease(number));
         let swapped = self.0.compare_and_swap(key, value, expected, lease).await?;
         Ok(match swapped {
@@ -109,7 +111,8 @@
     }
 
     async fn delete(&self, key: &str, headers: &HeaderMap) -> HandlerResult {
-        let expected = self.revision(header_number(headers, EXPECT_HEADER).unwrap_or(0));
+        let expected = header_number(headers, EXPECT_HEADER).unwrap_or(0);
+        let expected = self.revision(expected, headers);
         Ok(empty_response(match self.0.delete(key, expected).await? {
             true => StatusCode::OK,
             false => StatusCode::PRECONDITION_FAILED,
@@ -123,8 +126,8 @@
         Ok(json_response(StatusCode::OK, &items))
     }
 
-    async fn watch(&self, key: &str, query: &str) -> HandlerResult {
-        let after = self.revision(query_number(query, "after").unwrap_or(0));
+    async fn watch(&self, key: &str, query: &str, headers: &HeaderMap) -> HandlerResult {
+        let after = self.revision(query_number(query, "after").unwrap_or(0), headers);
         let wait = Duration::from_millis(query_number(query, "wait").unwrap_or(0));
         let changed = self.0.watch(key, after, wait).await?;
         Ok(match changed {
--- a/src/transport/era.rs
+++ b/src/transport/era.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use crate::state::revision::Era;
+use crate::state::revision::{Era, Revision};
 
 /// The newest era that a client has seen in the store's responses. Clones share it.
 #[derive(Clone, Debug, Default)]
@@ -15,6 +15,21 @@
         Era(self.0.load(Ordering::Acquire))
     }
 
+    /// Whether a revision is of an earlier era than the newest one seen, so that the store may have
+    /// given its number to another write.
+    ///
+    /// ```
+    /// use tarragoncourse::state::revision::{Era, Revision};
+    /// use tarragoncourse::transport::era::EraTracker;
+    /// let tracker = EraTracker::default();
+    /// tracker.observe(Era(2));
+    /// assert!(tracker.is_outdated(Revision::new(Era(1), 7)));
+    /// assert!(!tracker.is_outdated(Revision::ABSENT));
+    /// ```
+    pub fn is_outdated(&self, revision: Revision) -> bool {
+        revision != Revision::ABSENT && revision.era < self.current()
+    }
+
     /// Records the era of a response. A response of an earlier era may be read late, and changes
     /// nothing.
     ///
--- a/src/transport/kv.rs
+++ b/src/transport/kv.rs
@@ -16,7 +16,7 @@
 
 /// Header with the revision of the value read or written.
 pub const REVISION_HEADER: &str = "kv-revision";
-/// Header with the era of the store.
+/// Header with the era of the store; in a request, the era of the revision that the request names.
 pub const ERA_HEADER: &str = "kv-era";
 /// Header with the revision that a key must have for a write to succeed.
 pub const EXPECT_HEADER: &str = "kv-expect";
@@ -258,7 +258,8 @@
             after.number,
             wait.as_millis()
         );
-        let call = self.call(Method::GET, path, &[], String::new(), wait);
+        let headers = [(ERA_HEADER, after.era.0)];
+        let call = self.call(Method::GET, path, &headers, String::new(), wait);
         Ok(call.await?.into_value())
     }
 }
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -30,8 +30,9 @@
     /// The platform rejected the call or could not be reached; the call had no effect.
     #[display("the platform did not execute the call: {_0}")]
     Rejected(#[error(not(source))] String),
-    /// The platform no longer stores the history after the given revision.
-    #[display("the platform no longer stores the requested history; read the current value")]
+    /// The platform does not have the history after the given revision: it has deleted it, or has
+    /// come back from an older copy of its data.
+    #[display("the platform does not have the requested history; read the current value")]
     Compacted,
 }
 
@@ -77,7 +78,8 @@
         async { Ok(None) }
     }
 
-    /// Waits at most `wait` until the operator's document changes after the revision `after`.
+    /// Waits at most `wait` until the operator's document changes after the revision `after`. Fails
+    /// with [`PlatformError::Compacted`] if that is a revision of an earlier era.
     fn watch_document(
         &self,
         after: Revision,
@@ -126,8 +128,8 @@
     /// Revokes a lease. The keys attached to it are deleted.
     fn revoke_lease(&self, lease: Lease) -> impl Future<Output = PlatformResult<()>> + Send;
 
-    /// Waits at most `wait` until the revision of a key exceeds `after`. Returns the value, or
-    /// `None` if the key did not change.
+    /// Waits at most `wait` until the revision of a key is another than `after`. Returns the value,
+    /// or `None` if the key did not change.
     fn watch(
         &self,
         key: &str,
--- a/tests/test_store.rs
+++ b/tests/test_store.rs
@@ -78,6 +78,47 @@
     fleet.shut_down();
 }
 
+/// Versions are lost, and the head of the older copy is written until it has the revision that the
+/// watchers have seen last.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_older_head_at_the_watched_revision_is_noticed() {
+    let fleet = start_fleet(3).await;
+    assert_eq!(apply_change(&fleet, 1).await, Some(Version(1)));
+    let backup = fleet.platform.backup();
+    assert_eq!(apply_change(&fleet, 2).await, Some(Version(2)));
+    fleet
+        .wait_for_version(Version(2), WAIT_TIMEOUT)
+        .await
+        .expect("the version is in force in time");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let read_head = async || {
+        let head = fleet.platform.get(HEAD_KEY).await;
+        head.expect("the platform responds")
+            .expect("the head exists")
+    };
+    let watched = read_head().await.revision.number;
+    let mut copy = backup;
+    while copy.get(HEAD_KEY).expect("the head exists").revision.number < watched {
+        let head = copy.get(HEAD_KEY).expect("the head exists");
+        copy.compare_and_swap(HEAD_KEY, &head.text, head.revision, None);
+    }
+    fleet.platform.restore(copy);
+    let started = tokio::time::Instant::now();
+    loop {
+        let head = decode_head(&read_head().await.text).expect("the head is valid");
+        if head.version == Version(2) {
+            break;
+        }
+        assert!(
+            started.elapsed() < Duration::from_secs(8),
+            "the head is still at version {}",
+            head.version
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    fleet.shut_down();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_new_node_reads_a_snapshot_and_the_changes_after_it() {
     let mut fleet = start_fleet(1).await;
