Ask the peers' versions before a node becomes ready with a document

Callers of a node that started while the store had an older copy were served by the older configuration, and by the newer one a moment later.

Cause: a node that had read the document became ready with it, on the ground that no peer can have a newer one. After a return of the store that is not so until the operator has written the newest document again.

Change: such a node becomes ready when its first round with its peers has ended, as every other node does, or after 0.5 s if they do not tell a newer version in time.

Remains: a node that starts before the slots of its peers are back finds no peer.

--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -33,6 +33,8 @@
 const DOCUMENT_BATCH_DELAY: Duration = Duration::from_millis(700);
 /// Mean delay after a failed read or watch of the document.
 const DOCUMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Time that a starting node with a document waits for its peers to tell their versions.
+const PEER_VERSIONS_WAIT: Duration = Duration::from_millis(500);
 /// Mean delay after a failed watch on the head.
 const WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -216,20 +218,29 @@
         })
     }
 
-    /// Activates a document from the platform, and returns the delay before the next watch. A node
-    /// with the operator's document is as up to date as any peer, and therefore becomes ready.
+    /// Activates a document from the platform, and returns the delay before the next watch.
     fn handle_document_update(self: &Arc<Self>, update: &DocumentUpdate) -> Duration {
         let Some(document) = &update.document else {
             return Duration::ZERO;
         };
         self.adopt_document(document);
-        if self.version() >= document.version() {
-            self.become_ready();
+        if !self.is_ready() && self.version() >= document.version() {
+            tokio::spawn(self.clone().become_ready_without_peers());
         }
         // After the delay, versions that follow in quick succession are read together.
         DOCUMENT_BATCH_DELAY
     }
 
+    /// Makes a node with a document ready if no peer has told in time that there is a newer one. The
+    /// platform may have come back from a copy with an older document than the peers'.
+    async fn become_ready_without_peers(self: Arc<Self>) {
+        tokio::time::sleep(PEER_VERSIONS_WAIT).await;
+        let newest_known = lock(&self.distribution).newest_known();
+        if self.version() >= newest_known {
+            self.become_ready();
+        }
+    }
+
     /// Returns whether this node watches the document itself.
     fn should_watch_document(&self) -> bool {
         let (members_alive, zone_watched) = {
