Treat a lease of an earlier era as lost

A node that started found no peer in the store, for as long as the fault lasted, and served on its own.

Cause: a node renews the lease of its watcher slot by number. After a return from an older copy the lease may be gone and its number another node's: the renewals succeed, the slot stays empty, and the lease of the other node ends when this one stops.

Change: leases carry the era in which they were granted. One of an earlier era is neither renewed nor revoked nor used for a write, its slot counts as lost as soon as any response shows the new era, and a lost slot is acquired again at once instead of at the next renewal. Our own service takes the era with the lease and decides; on the users' platform the client does, since a call there cannot name an era.

--- a/src/coordination/watcher_slot.rs
+++ b/src/coordination/watcher_slot.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::state::member::{Health, MemberTable};
-use crate::state::revision::Lease;
+use crate::state::revision::{Era, Lease};
 
 /// Number of slots in each availability zone.
 pub const SLOTS_PER_ZONE: usize = 2;
@@ -150,9 +150,19 @@
         }
     }
 
-    /// Records that the platform no longer has the lease.
-    pub fn record_expired(&mut self, lease: Lease) {
-        self.held = self.held.filter(|h| h.lease != lease);
+    /// Records that the platform no longer has the lease. The slot is acquired again at once.
+    pub fn record_expired(&mut self, lease: Lease, now: Instant) {
+        if self.held.is_some_and(|h| h.lease == lease) {
+            self.held = None;
+            self.next_check = now;
+        }
+    }
+
+    /// Records the newest era of the platform. A lease of an earlier one may be lost.
+    pub fn record_era(&mut self, era: Era, now: Instant) {
+        if let Some(held) = self.held.filter(|h| h.lease.era < era) {
+            self.record_expired(held.lease, now);
+        }
     }
 }
 
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -47,6 +47,8 @@
             if !self.is_ready() || self.is_leaving() {
                 continue;
             }
+            lock(&self.watcher_slot).record_era(self.platform.era(), Instant::now());
+            self.publish_slot();
             match self.slot_step() {
                 SlotStep::Idle => {}
                 SlotStep::Acquire(number) => self.try_acquire_slot(number).await,
@@ -122,7 +124,10 @@
         let requested_at = Instant::now();
         match self.platform.renew_lease(lease).await {
             Ok(true) => lock(&self.watcher_slot).record_renewed(lease, requested_at),
-            Ok(false) => lock(&self.watcher_slot).record_expired(lease),
+            Ok(false) => {
+                lock(&self.watcher_slot).record_expired(lease, Instant::now());
+                log::warn!("watcher slot lost lease={lease}");
+            }
             Err(_) => {}
         }
     }
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -19,7 +19,9 @@
 use crate::transport::http::{
     Endpoint, body_response, empty_response, json_response, query_number, read_body,
 };
-use crate::transport::kv::{ERA_HEADER, EXPECT_HEADER, LEASE_HEADER, REVISION_HEADER};
+use crate::transport::kv::{
+    ERA_HEADER, EXPECT_HEADER, LEASE_ERA_HEADER, LEASE_HEADER, REVISION_HEADER,
+};
 use crate::transport::platform::{Platform, PlatformError, Value};
 
 /// HTTP endpoint of the platform stand-in.
@@ -51,8 +53,8 @@
             (&Method::GET, "list") => self.list(rest).await,
             (&Method::GET, "watch") => self.watch(rest, query, &parts.headers).await,
             (&Method::POST, "lease") if rest.is_empty() => self.grant_lease(query).await,
-            (&Method::POST, "lease") => self.renew_lease(rest).await,
-            (&Method::DELETE, "lease") => self.revoke_lease(rest).await,
+            (&Method::POST, "lease") => self.renew_lease(rest, &parts.headers).await,
+            (&Method::DELETE, "lease") => self.revoke_lease(rest, &parts.headers).await,
             _ => return text_response(StatusCode::NOT_FOUND, "unknown path or method"),
         };
         let mut response = result.unwrap_or_else(|e| match e {
@@ -73,10 +75,13 @@
         Revision::new(era.unwrap_or(self.0.era()), number)
     }
 
-    /// A lease of the current era.
-    fn lease(&self, number: u64) -> Lease {
-        let era = self.0.era();
-        Lease { era, number }
+    /// The lease that a request names, by default one of the current era.
+    fn lease(&self, number: u64, headers: &HeaderMap, era_header: &str) -> Lease {
+        let era = header_number(headers, era_header).map(Era);
+        Lease {
+            era: era.unwrap_or(self.0.era()),
+            number,
+        }
     }
 
     fn set_faults(&self, body: &str) -> Response<Body> {
@@ -102,7 +107,8 @@
         }
         let expected = header_number(headers, EXPECT_HEADER).unwrap_or(0);
         let expected = self.revision(expected, headers);
-        let lease = header_number(headers, LEASE_HEADER).map(|number| self.lease(number));
+        let lease = header_number(headers, LEASE_HEADER);
+        let lease = lease.map(|number| self.lease(number, headers, LEASE_ERA_HEADER));
         let swapped = self.0.compare_and_swap(key, value, expected, lease).await?;
         Ok(match swapped {
             Some(revision) => with_revision(empty_response(StatusCode::OK), revision.number),
@@ -142,21 +148,18 @@
         Ok(text_response(StatusCode::OK, lease.number.to_string()))
     }
 
-    async fn renew_lease(&self, lease: &str) -> HandlerResult {
-        let renewed = self
-            .0
-            .renew_lease(self.lease(lease.parse().unwrap_or(0)))
-            .await?;
+    async fn renew_lease(&self, lease: &str, headers: &HeaderMap) -> HandlerResult {
+        let lease = self.lease(lease.parse().unwrap_or(0), headers, ERA_HEADER);
+        let renewed = self.0.renew_lease(lease).await?;
         Ok(empty_response(match renewed {
             true => StatusCode::OK,
             false => StatusCode::NOT_FOUND,
         }))
     }
 
-    async fn revoke_lease(&self, lease: &str) -> HandlerResult {
-        self.0
-            .revoke_lease(self.lease(lease.parse().unwrap_or(0)))
-            .await?;
+    async fn revoke_lease(&self, lease: &str, headers: &HeaderMap) -> HandlerResult {
+        let lease = self.lease(lease.parse().unwrap_or(0), headers, ERA_HEADER);
+        self.0.revoke_lease(lease).await?;
         Ok(empty_response(StatusCode::OK))
     }
 }
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -74,7 +74,7 @@
     }
 
     /// Writes a key if its revision has the expected number (zero if the key is absent) and the
-    /// lease, if given, still exists. Like the platform, it knows nothing of the expected era. Returns the new revision, or `None` if nothing was written.
+    /// lease, if given, still exists. Returns the new revision, or `None` if nothing was written.
     pub fn compare_and_swap(
         &mut self,
         key: &str,
@@ -82,10 +82,10 @@
         expected: Revision,
         lease: Option<Lease>,
     ) -> Option<Revision> {
-        let lease = lease.map(|l| l.number);
-        if lease.is_some_and(|l| !self.leases.contains_key(&l)) {
+        if lease.is_some_and(|l| l.era != self.era || !self.leases.contains_key(&l.number)) {
             return None;
         }
+        let lease = lease.map(|l| l.number);
         if self.revision_of(key) != expected.number {
             return None;
         }
@@ -124,12 +124,15 @@
     /// Renews a lease. Returns whether it still exists.
     pub fn renew_lease(&mut self, lease: Lease, now: Instant) -> bool {
         let found = self.leases.get_mut(&lease.number);
+        let found = found.filter(|_| lease.era == self.era);
         found.map(|l| l.expires = now + l.ttl).is_some()
     }
 
     /// Removes a lease and the keys attached to it.
     pub fn revoke_lease(&mut self, lease: Lease) {
-        self.remove_lease(lease.number);
+        if lease.era == self.era {
+            self.remove_lease(lease.number);
+        }
     }
 
     fn remove_lease(&mut self, number: u64) {
--- a/src/transport/era.rs
+++ b/src/transport/era.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use crate::state::revision::{Era, Revision};
+use crate::state::revision::{Era, Lease, Revision};
 
 /// The newest era that a client has seen in the store's responses. Clones share it.
 #[derive(Clone, Debug, Default)]
@@ -30,6 +30,12 @@
         revision != Revision::ABSENT && revision.era < self.current()
     }
 
+    /// Whether a lease is of an earlier era than the newest one seen. The store may have lost it, and
+    /// may have given its number to another node.
+    pub fn is_lost(&self, lease: Lease) -> bool {
+        lease.era < self.current()
+    }
+
     /// Records the era of a response. A response of an earlier era may be read late, and changes
     /// nothing.
     ///
--- a/src/transport/kv.rs
+++ b/src/transport/kv.rs
@@ -16,12 +16,15 @@
 
 /// Header with the revision of the value read or written.
 pub const REVISION_HEADER: &str = "kv-revision";
-/// Header with the era of the store; in a request, the era of the revision that the request names.
+/// Header with the era of the store; in a request, the era of the revision or lease that
+/// the request names.
 pub const ERA_HEADER: &str = "kv-era";
 /// Header with the revision that a key must have for a write to succeed.
 pub const EXPECT_HEADER: &str = "kv-expect";
 /// Header with the lease to which a written key is attached.
 pub const LEASE_HEADER: &str = "kv-lease";
+/// Header with the era of the lease to which a written key is attached.
+pub const LEASE_ERA_HEADER: &str = "kv-lease-era";
 /// Time limit for a call; for a watch, the requested waiting time is added.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum size of a response. The largest responses are lists of many values.
@@ -174,6 +177,7 @@
     ) -> PlatformResult<Option<Revision>> {
         let mut headers = vec![(EXPECT_HEADER, expected.number)];
         headers.extend(lease.map(|l| (LEASE_HEADER, l.number)));
+        headers.extend(lease.map(|l| (LEASE_ERA_HEADER, l.era.0)));
         let no_wait = Duration::ZERO;
         let call = self.call(
             Method::PUT,
@@ -232,17 +236,17 @@
 
     async fn renew_lease(&self, lease: Lease) -> PlatformResult<bool> {
         let path = format!("/lease/{}", lease.number);
+        let headers = [(ERA_HEADER, lease.era.0)];
         let no_wait = Duration::ZERO;
-        let response = self
-            .call(Method::POST, path, &[], String::new(), no_wait)
-            .await?;
-        Ok(response.status == StatusCode::OK)
+        let call = self.call(Method::POST, path, &headers, String::new(), no_wait);
+        Ok(call.await?.status == StatusCode::OK)
     }
 
     async fn revoke_lease(&self, lease: Lease) -> PlatformResult<()> {
         let path = format!("/lease/{}", lease.number);
+        let headers = [(ERA_HEADER, lease.era.0)];
         let no_wait = Duration::ZERO;
-        self.call(Method::DELETE, path, &[], String::new(), no_wait)
+        self.call(Method::DELETE, path, &headers, String::new(), no_wait)
             .await?;
         Ok(())
     }
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -122,10 +122,10 @@
     /// Creates a lease. The keys attached to it are deleted when it expires.
     fn grant_lease(&self, ttl: Duration) -> impl Future<Output = PlatformResult<Lease>> + Send;
 
-    /// Renews a lease. Returns whether the lease still existed.
+    /// Renews a lease. Returns whether the lease still existed; one of an earlier era does not.
     fn renew_lease(&self, lease: Lease) -> impl Future<Output = PlatformResult<bool>> + Send;
 
-    /// Revokes a lease. The keys attached to it are deleted.
+    /// Revokes a lease. The keys attached to it are deleted. Does nothing to one of an earlier era.
     fn revoke_lease(&self, lease: Lease) -> impl Future<Output = PlatformResult<()>> + Send;
 
     /// Waits at most `wait` until the revision of a key is another than `after`. Returns the value,
