Let no condition of an earlier era hold

A compare-and-swap could replace a value that its caller had never read: after a return from an older copy the revision that the condition names has been given out again, to another value.

Cause: conditions name a number, and numbers repeat after a return.

Change: a condition goes with the era in which its revision was read. On our own service the request names the era and the store decides.

--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -73,7 +73,7 @@
         matching.map(|(k, e)| (k.clone(), self.read(e))).collect()
     }
 
-    /// Writes a key if its revision has the expected number (zero if the key is absent) and the
+    /// Writes a key if its revision is the expected one and the
     /// lease, if given, still exists. Returns the new revision, or `None` if nothing was written.
     pub fn compare_and_swap(
         &mut self,
@@ -86,7 +86,7 @@
             return None;
         }
         let lease = lease.map(|l| l.number);
-        if self.revision_of(key) != expected.number {
+        if self.revision_of(key) != expected {
             return None;
         }
         self.revision += 1;
@@ -101,7 +101,7 @@
 
     /// Removes a key if it exists and its revision is the expected one. Returns whether it did.
     pub fn delete(&mut self, key: &str, expected: Revision) -> bool {
-        let matches = expected.number > 0 && self.revision_of(key) == expected.number;
+        let matches = expected != Revision::ABSENT && self.revision_of(key) == expected;
         if matches {
             self.revision += 1;
             self.entries.remove(key);
@@ -165,7 +165,8 @@
         }
     }
 
-    fn revision_of(&self, key: &str) -> u64 {
-        self.entries.get(key).map_or(0, |e| e.value.revision.number)
+    fn revision_of(&self, key: &str) -> Revision {
+        let entry = self.entries.get(key);
+        entry.map_or(Revision::ABSENT, |e| self.read(e).revision)
     }
 }
--- a/src/transport/kv.rs
+++ b/src/transport/kv.rs
@@ -147,6 +147,11 @@
     })
 }
 
+/// The header that names the era of a revision, unless it belongs to all eras.
+fn era_header(revision: Revision) -> Option<(&'static str, u64)> {
+    (revision != Revision::ABSENT).then_some((ERA_HEADER, revision.era.0))
+}
+
 fn kv_path(key: &str) -> String {
     format!("/kv/{key}")
 }
@@ -176,6 +181,7 @@
         lease: Option<Lease>,
     ) -> PlatformResult<Option<Revision>> {
         let mut headers = vec![(EXPECT_HEADER, expected.number)];
+        headers.extend(era_header(expected));
         headers.extend(lease.map(|l| (LEASE_HEADER, l.number)));
         headers.extend(lease.map(|l| (LEASE_ERA_HEADER, l.era.0)));
         let no_wait = Duration::ZERO;
@@ -191,7 +197,8 @@
     }
 
     async fn delete(&self, key: &str, expected: Revision) -> PlatformResult<bool> {
-        let headers = [(EXPECT_HEADER, expected.number)];
+        let mut headers = vec![(EXPECT_HEADER, expected.number)];
+        headers.extend(era_header(expected));
         let no_wait = Duration::ZERO;
         let call = self.call(
             Method::DELETE,
@@ -262,7 +269,7 @@
             after.number,
             wait.as_millis()
         );
-        let headers = [(ERA_HEADER, after.era.0)];
+        let headers: Vec<_> = era_header(after).into_iter().collect();
         let call = self.call(Method::GET, path, &headers, String::new(), wait);
         Ok(call.await?.into_value())
     }
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -96,7 +96,7 @@
     /// Reads the value of a key.
     fn get(&self, key: &str) -> impl Future<Output = PlatformResult<Option<Value>>> + Send;
 
-    /// Writes a key if its current revision is `expected`. Attaches the key to `lease` if one is given. Returns the new revision, or `None` if the
+    /// Writes a key if its current revision is `expected`, which no key of a later era has. Attaches the key to `lease` if one is given. Returns the new revision, or `None` if the
     /// current revision was a different one.
     fn compare_and_swap(
         &self,
--- a/tests/test_store.rs
+++ b/tests/test_store.rs
@@ -1,14 +1,21 @@
 //! The configuration in the platform's store: restore of an older backup, a new node that reads a
 //! snapshot, and deletion of old records.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use tarragoncourse::coordination::commit::CommitOutcome;
 use tarragoncourse::experiment::convergence::{put_service, put_team};
 use tarragoncourse::experiment::fleet::Fleet;
 use tarragoncourse::protocol::record::{HEAD_KEY, decode_head};
+use tarragoncourse::standin::platform::MemoryPlatform;
+use tarragoncourse::standin::server::PlatformServer;
 use tarragoncourse::state::id::Version;
+use tarragoncourse::state::revision::Revision;
+use tarragoncourse::transport::http::{ServeLimits, serve};
+use tarragoncourse::transport::kv::HttpPlatform;
 use tarragoncourse::transport::platform::Platform;
+use tokio::net::TcpListener;
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -186,3 +193,31 @@
         .expect("the version is in force in time");
     fleet.shut_down();
 }
+
+/// The revision that a condition names has been given out again, to another value.
+#[tokio::test]
+async fn a_condition_of_an_earlier_era_does_not_overwrite_another_value() {
+    let served = MemoryPlatform::default();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let (_stop, stopped) = tokio::sync::watch::channel(false);
+    let limits = ServeLimits {
+        max_connections: 16,
+        drain_timeout: Duration::ZERO,
+    };
+    let server = Arc::new(PlatformServer(served.clone()));
+    tokio::spawn(serve(listener, server, limits, stopped));
+    let client = HttpPlatform::new(address);
+    let copy = served.backup();
+    let write = client.compare_and_swap("k", "before", Revision::ABSENT, None);
+    let before = write.await.expect("a response").expect("written");
+    served.restore(copy);
+    let write = served.compare_and_swap("k", "after", Revision::ABSENT, None);
+    let after = write.await.expect("a response").expect("written");
+    assert_eq!(after.number, before.number);
+    let swapped = client.compare_and_swap("k", "mine", before, None).await;
+    assert_eq!(swapped, Ok(None));
+    assert_eq!(client.delete("k", before).await, Ok(false));
+    let value = client.get("k").await.expect("a response").expect("a value");
+    assert_eq!(value.text, "after");
+}
