Write lost claims again before a key is granted after a return

A request with an idempotency key could run twice: the platform came back from a copy without the claim, and the same key was granted again.

Cause: claims were kept only in the platform, on the ground that it loses nothing that it has acknowledged.

Change: a node remembers the operations that it has written in the last 60 s. When a response shows a later era, it writes them again, also without new operations; for 3 s it grants no key that the table does not hold (the caller is told that the request has not run). A batch whose era ends while it runs is run again. The same holds for the first 3 s after a node has first heard of the era, since it may have started just after a return. The decisions are in coordination/claim_memory.rs and claims.rs.

Evidence: a_key_whose_claim_the_platform_has_lost_does_not_run_again over the real processes; with the observation of the era planted out, the second request of the key is answered 200 and runs. The stand-in process learns POST /copy and POST /come-back.

Remains: a node that has written claims and does not reach the platform within 3 s of its return, or has ended; requests through the users' platform bear no keys.

--- a/src/bin/tarragon-standin.rs
+++ b/src/bin/tarragon-standin.rs
@@ -66,7 +66,7 @@
     match command.as_deref() {
         Some("platform") => runtime.block_on(run_server(
             listen,
-            Arc::new(PlatformServer(MemoryPlatform::default())),
+            Arc::new(PlatformServer::from(MemoryPlatform::default())),
             max_connections,
         )),
         Some("target") => {
--- a/src/coordination/claims.rs
+++ b/src/coordination/claims.rs
@@ -85,6 +85,9 @@
     Held(KeyState),
     /// The table is full, so the request must not run.
     Full,
+    /// The platform has come back from an older copy and may have lost a claim on the key, so the
+    /// request must not run.
+    Unsettled,
 }
 
 /// Operation on one idempotency key.
@@ -117,6 +120,34 @@
             .collect()
     }
 
+    /// Writes operations again that the platform has lost, over whatever the table holds for their
+    /// keys: they were granted before.
+    pub fn restore(&mut self, lost: &[KeyOperation], unix_secs: u64) {
+        for operation in lost {
+            if let KeyOperation::Claim(key, attempt) = operation
+                && self.entries.get(key).is_none_or(|e| e.attempt != *attempt)
+            {
+                self.entries.remove(key);
+            }
+            self.apply_one(*operation, unix_secs);
+        }
+    }
+
+    /// Refuses to grant claims on keys that are not in the table. Returns the results of a batch.
+    fn apply_unsettled(
+        &mut self,
+        operations: &[KeyOperation],
+        unix_secs: u64,
+    ) -> Vec<ClaimOutcome> {
+        let apply = |operation: &KeyOperation| match operation {
+            KeyOperation::Claim(key, _) if !self.entries.contains_key(key) => {
+                ClaimOutcome::Unsettled
+            }
+            _ => self.apply_one(*operation, unix_secs),
+        };
+        operations.iter().map(apply).collect()
+    }
+
     /// Removes keys that were claimed at least [`KEY_RETENTION`] ago.
     fn expire(&mut self, unix_secs: u64) {
         let retention = KEY_RETENTION.as_secs();
@@ -173,6 +204,15 @@
 pub const COMPLETION_WAIT_MAX: Duration = Duration::from_millis(250);
 
 impl KeyOperation {
+    /// The key that the operation is about.
+    pub fn key(&self) -> KeyHash {
+        match self {
+            KeyOperation::Claim(k, _)
+            | KeyOperation::Complete(k, _, _)
+            | KeyOperation::Release(k, _) => *k,
+        }
+    }
+
     /// Whether a request waits for the result.
     pub fn is_urgent(&self) -> bool {
         matches!(self, KeyOperation::Claim(..))
@@ -266,6 +306,10 @@
     outcomes: Vec<ClaimOutcome>,
     unix_secs: u64,
     calls: u32,
+    /// Operations of an earlier era, which the platform may have lost.
+    lost: Vec<KeyOperation>,
+    /// Whether other nodes may still be writing theirs.
+    settling: bool,
 }
 
 /// Number of platform calls (reads and swaps) after which a batch fails.
@@ -279,6 +323,18 @@
             outcomes: Vec::new(),
             unix_secs,
             calls: 0,
+            lost: Vec::new(),
+            settling: false,
+        }
+    }
+
+    /// Makes the batch first restore operations that the platform may have lost, and refuse claims
+    /// while other nodes may still be `settling` theirs.
+    pub fn after_return(self, lost: Vec<KeyOperation>, settling: bool) -> Batch {
+        Batch {
+            lost,
+            settling,
+            ..self
         }
     }
 
@@ -297,7 +353,11 @@
 
     fn apply_to_table(&mut self, mut table: ClaimTable, revision: Revision) -> BatchStep {
         let before = table.clone();
-        self.outcomes = table.apply(&self.operations, self.unix_secs);
+        table.restore(&self.lost, self.unix_secs);
+        self.outcomes = match self.settling {
+            true => table.apply_unsettled(&self.operations, self.unix_secs),
+            false => table.apply(&self.operations, self.unix_secs),
+        };
         if table == before {
             return BatchStep::Done(std::mem::take(&mut self.outcomes));
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod announce;
 pub mod budget;
+pub mod claim_memory;
 pub mod claims;
 pub mod commit;
 pub mod distribution;
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -3,7 +3,7 @@
 //! The platform stores the state of the keys in claim tables, one for each shard. One
 //! compare-and-swap of a claim table writes all operations of a batch.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,17 +13,17 @@
 
 use super::{Node, lock, unix_millis};
 use crate::coordination::claims::{
-    Batch, BatchEvent, BatchStep, ClaimOutcome, ClaimTable, KeyHash, KeyOperation, WritePacer,
+    Batch, BatchEvent, BatchStep, ClaimOutcome, ClaimTable, KeyOperation, WritePacer,
 };
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::protocol::record::{claim_table_key, decode_claim_table, encode_claim_table};
 use crate::state::member::Health;
-use crate::state::revision::Revision;
+use crate::state::revision::{Era, Revision};
 use crate::transport::link::send_request;
 use crate::transport::platform::Platform;
 
 /// Longest sleep while no write is due.
-const IDLE_SLEEP: Duration = Duration::from_secs(1);
+const IDLE_SLEEP: Duration = Duration::from_millis(250);
 /// Operations that can wait in the queue to be batched.
 const QUEUE_CAPACITY: usize = 4096;
 /// Timeout of a request to the owner of a shard.
@@ -75,17 +75,9 @@
     }
 }
 
-fn key_hash(operation: &KeyOperation) -> KeyHash {
-    match operation {
-        KeyOperation::Claim(k, _)
-        | KeyOperation::Complete(k, _, _)
-        | KeyOperation::Release(k, _) => *k,
-    }
-}
-
 impl QueuedOperation {
     fn shard(&self) -> u64 {
-        key_hash(&self.operation).shard()
+        self.operation.key().shard()
     }
 }
 
@@ -124,6 +116,9 @@
         let mut shards: BTreeMap<u64, Shard> = BTreeMap::new();
         let mut writes = JoinSet::new();
         loop {
+            for number in self.lost_shards() {
+                writes.spawn(self.clone().write_batch(number, Vec::new()));
+            }
             let idle = shards.values().filter(|s| !s.writing);
             let due = idle.filter_map(|s| s.pacer.next_write()).min();
             let due = due.unwrap_or_else(|| Instant::now() + IDLE_SLEEP);
@@ -160,13 +155,42 @@
         shard
     }
 
+    /// Runs a batch until it has ended in the era in which it began. If the platform comes back from
+    /// an older copy meanwhile, the batch runs again, together with what the platform has lost.
     async fn run_batch(&self, shard: u64, operations: Vec<KeyOperation>) -> ClaimOutcomes {
+        loop {
+            let era = self.platform.era();
+            let batch = self.prepare_batch(shard, &operations, era);
+            let outcomes = self.run_in_era(shard, batch, era).await;
+            if self.platform.era() == era {
+                let outcomes = outcomes?;
+                lock(&self.claim_memory).record(&operations, &outcomes, Instant::now());
+                return Some(outcomes);
+            }
+        }
+    }
+
+    /// Builds a batch that first restores what the platform may have lost.
+    fn prepare_batch(&self, shard: u64, operations: &[KeyOperation], era: Era) -> Batch {
+        let now = Instant::now();
+        let mut memory = lock(&self.claim_memory);
+        memory.observe_era(era, now);
+        let settling = memory.is_settling(now);
+        let lost = match settling {
+            true => memory.operations(shard),
+            false => Vec::new(),
+        };
+        Batch::new(operations.to_vec(), unix_millis() / 1000).after_return(lost, settling)
+    }
+
+    /// Runs a batch; ends it early if a response shows a later era.
+    async fn run_in_era(&self, shard: u64, mut batch: Batch, era: Era) -> ClaimOutcomes {
         let key = claim_table_key(shard);
-        let mut batch = Batch::new(operations, unix_millis() / 1000);
         let mut step = BatchStep::Read;
         loop {
             let event = match step {
                 BatchStep::Read => BatchEvent::Table(self.read_table(&key).await),
+                BatchStep::Swap(..) if self.platform.era() != era => return None,
                 BatchStep::Swap(table, revision) => {
                     let text = encode_claim_table(&table);
                     let swapped = self
@@ -182,6 +206,19 @@
         }
     }
 
+    /// The shards whose remembered claims are to be written again, because the platform has come
+    /// back from an older copy since the last call.
+    fn lost_shards(&self) -> BTreeSet<u64> {
+        let era = self.platform.era();
+        let mut memory = lock(&self.claim_memory);
+        if !memory.observe_era(era, Instant::now()) {
+            return BTreeSet::new();
+        }
+        let shards: BTreeSet<u64> = memory.shards().collect();
+        log::warn!("claims written again era={era} shards={}", shards.len());
+        shards
+    }
+
     async fn read_table(&self, key: &str) -> Option<(ClaimTable, Revision)> {
         match self.platform.get(key).await {
             Ok(None) => Some((ClaimTable::default(), Revision::ABSENT)),
@@ -194,7 +231,7 @@
     /// platform grows with the number of watchers and not with the number of nodes. Correctness
     /// does not depend on the owner: the compare-and-swap decides, whichever node executes it.
     pub(super) async fn submit_operation(&self, operation: KeyOperation) -> Option<ClaimOutcome> {
-        if let Some(owner) = self.shard_owner(key_hash(&operation).shard()) {
+        if let Some(owner) = self.shard_owner(operation.key().shard()) {
             let request = PeerRequest::Claim(vec![operation]);
             match send_request(&self.fleet_key, owner, &request, OWNER_TIMEOUT).await {
                 Ok((PeerReply::Claims(Some(outcomes)), _)) => return outcomes.first().copied(),
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -184,7 +184,7 @@
                     RETRY_AFTER_DEFAULT,
                 );
             }
-            Ok(Some(ClaimOutcome::Full) | None) | Err(_) => {
+            Ok(Some(ClaimOutcome::Full | ClaimOutcome::Unsettled) | None) | Err(_) => {
                 return self.local_response(
                     Outcome::NotRun(NotRun::ClaimUnavailable),
                     RETRY_AFTER_DEFAULT,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -47,6 +47,7 @@
 
 use crate::coordination::announce::AnnouncedTarget;
 use crate::coordination::budget::ByteBudget;
+use crate::coordination::claim_memory::ClaimMemory;
 use crate::coordination::distribution::Distribution;
 use crate::coordination::gate::Gate;
 use crate::coordination::health::TargetHealth;
@@ -147,6 +148,7 @@
     /// HTTP client for the local target.
     target_client: HttpClient,
     claim_queue: ClaimQueue,
+    claim_memory: Mutex<ClaimMemory>,
     pull_permits: Semaphore,
     join_permits: Semaphore,
     body_buffer: BodyBuffer,
@@ -213,6 +215,7 @@
             gate_client: HttpClient::default(),
             target_client: HttpClient::with_idle_timeout(TARGET_IDLE_TIMEOUT),
             claim_queue,
+            claim_memory: Mutex::default(),
             pull_permits: Semaphore::new(CONCURRENT_PULLS_MAX),
             join_permits: Semaphore::new(CONCURRENT_JOINS_MAX),
             body_buffer: BodyBuffer::new(settings.replay_body),
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -118,6 +118,7 @@
     Pending,
     Answered(u16),
     Full,
+    Unsettled,
 }
 
 impl PeerRequest {
@@ -286,6 +287,7 @@
             ClaimOutcome::Held(KeyState::Pending) => WireClaimOutcome::Pending,
             ClaimOutcome::Held(KeyState::Answered(status)) => WireClaimOutcome::Answered(*status),
             ClaimOutcome::Full => WireClaimOutcome::Full,
+            ClaimOutcome::Unsettled => WireClaimOutcome::Unsettled,
         }
     }
 }
@@ -297,6 +299,7 @@
             WireClaimOutcome::Pending => ClaimOutcome::Held(KeyState::Pending),
             WireClaimOutcome::Answered(status) => ClaimOutcome::Held(KeyState::Answered(status)),
             WireClaimOutcome::Full => ClaimOutcome::Full,
+            WireClaimOutcome::Unsettled => ClaimOutcome::Unsettled,
         }
     }
 }
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -1,9 +1,9 @@
 //! The platform stand-in as an HTTP service with the API of `docs/PLATFORM.md`.
 //!
-//! Two more paths serve tests: `POST /faults` sets the faults, and `GET /calls` returns the number
-//! of calls.
+//! More paths serve tests: `POST /faults` sets the faults, `POST /copy` keeps a copy of the data,
+//! `POST /come-back` returns to that copy, and `GET /calls` returns the number of calls.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use gotham::helpers::http::Body;
@@ -13,7 +13,7 @@
 
 use super::faults::PlatformFaults;
 use super::platform::MemoryPlatform;
-use super::store::VALUE_MAX_BYTES;
+use super::store::{Store, VALUE_MAX_BYTES};
 use crate::protocol::dialect::header_number;
 use crate::state::revision::{Era, Lease, Revision};
 use crate::transport::http::{
@@ -25,7 +25,20 @@
 use crate::transport::platform::{Platform, PlatformError, Value};
 
 /// HTTP endpoint of the platform stand-in.
-pub struct PlatformServer(pub MemoryPlatform);
+pub struct PlatformServer {
+    platform: MemoryPlatform,
+    /// The copy from which the platform comes back.
+    copy: Mutex<Option<Store>>,
+}
+
+impl From<MemoryPlatform> for PlatformServer {
+    fn from(platform: MemoryPlatform) -> PlatformServer {
+        PlatformServer {
+            platform,
+            copy: Mutex::default(),
+        }
+    }
+}
 
 type HandlerResult = Result<Response<Body>, PlatformError>;
 
@@ -46,7 +59,11 @@
         let query = parts.uri.query().unwrap_or_default();
         let result = match (&parts.method, resource) {
             (&Method::POST, "faults") => return self.set_faults(&body),
-            (&Method::GET, "calls") => return json_response(StatusCode::OK, &self.0.call_counts()),
+            (&Method::POST, "copy") => return self.take_copy(),
+            (&Method::POST, "come-back") => return self.come_back(),
+            (&Method::GET, "calls") => {
+                return json_response(StatusCode::OK, &self.platform.call_counts());
+            }
             (&Method::GET, "kv") => self.get(rest).await,
             (&Method::PUT, "kv") => self.put(rest, &body, &parts.headers).await,
             (&Method::DELETE, "kv") => self.delete(rest, &parts.headers).await,
@@ -62,7 +79,7 @@
             PlatformError::Rejected(reason) => text_response(StatusCode::TOO_MANY_REQUESTS, reason),
             PlatformError::Compacted => empty_response(StatusCode::GONE),
         });
-        let era = HeaderValue::from(self.0.era().0);
+        let era = HeaderValue::from(self.platform.era().0);
         response.headers_mut().insert(ERA_HEADER, era);
         response
     }
@@ -72,22 +89,42 @@
     /// The revision that a request names, by default one of the current era.
     fn revision(&self, number: u64, headers: &HeaderMap) -> Revision {
         let era = header_number(headers, ERA_HEADER).map(Era);
-        Revision::new(era.unwrap_or(self.0.era()), number)
+        Revision::new(era.unwrap_or(self.platform.era()), number)
     }
 
     /// The lease that a request names, by default one of the current era.
     fn lease(&self, number: u64, headers: &HeaderMap, era_header: &str) -> Lease {
         let era = header_number(headers, era_header).map(Era);
         Lease {
-            era: era.unwrap_or(self.0.era()),
+            era: era.unwrap_or(self.platform.era()),
             number,
         }
     }
 
+    fn take_copy(&self) -> Response<Body> {
+        let mut copy = self.copy.lock().unwrap_or_else(|e| e.into_inner());
+        *copy = Some(self.platform.backup());
+        empty_response(StatusCode::OK)
+    }
+
+    fn come_back(&self) -> Response<Body> {
+        let copy = self.copy.lock().unwrap_or_else(|e| e.into_inner()).take();
+        match copy {
+            Some(copy) => {
+                self.platform.restore(copy);
+                empty_response(StatusCode::OK)
+            }
+            None => text_response(
+                StatusCode::BAD_REQUEST,
+                "there is no copy; POST /copy first",
+            ),
+        }
+    }
+
     fn set_faults(&self, body: &str) -> Response<Body> {
         match serde_json::from_str::<PlatformFaults>(body) {
             Ok(faults) => {
-                self.0.set_faults(faults);
+                self.platform.set_faults(faults);
                 json_response(StatusCode::OK, &faults)
             }
             Err(e) => text_response(StatusCode::BAD_REQUEST, e.to_string()),
@@ -95,7 +132,7 @@
     }
 
     async fn get(&self, key: &str) -> HandlerResult {
-        Ok(value_response(self.0.get(key).await?))
+        Ok(value_response(self.platform.get(key).await?))
     }
 
     async fn put(&self, key: &str, value: &str, headers: &HeaderMap) -> HandlerResult {
@@ -109,7 +146,10 @@
         let expected = self.revision(expected, headers);
         let lease = header_number(headers, LEASE_HEADER);
         let lease = lease.map(|number| self.lease(number, headers, LEASE_ERA_HEADER));
-        let swapped = self.0.compare_and_swap(key, value, expected, lease).await?;
+        let swapped = self
+            .platform
+            .compare_and_swap(key, value, expected, lease)
+            .await?;
         Ok(match swapped {
             Some(revision) => with_revision(empty_response(StatusCode::OK), revision.number),
             None => empty_response(StatusCode::PRECONDITION_FAILED),
@@ -119,14 +159,16 @@
     async fn delete(&self, key: &str, headers: &HeaderMap) -> HandlerResult {
         let expected = header_number(headers, EXPECT_HEADER).unwrap_or(0);
         let expected = self.revision(expected, headers);
-        Ok(empty_response(match self.0.delete(key, expected).await? {
-            true => StatusCode::OK,
-            false => StatusCode::PRECONDITION_FAILED,
-        }))
+        Ok(empty_response(
+            match self.platform.delete(key, expected).await? {
+                true => StatusCode::OK,
+                false => StatusCode::PRECONDITION_FAILED,
+            },
+        ))
     }
 
     async fn list(&self, prefix: &str) -> HandlerResult {
-        let listed = self.0.list(prefix).await?;
+        let listed = self.platform.list(prefix).await?;
         let item = |(key, v): &(String, Value)| json!({ "key": key, "value": v.text, "revision": v.revision.number });
         let items: Vec<_> = listed.iter().map(item).collect();
         Ok(json_response(StatusCode::OK, &items))
@@ -135,7 +177,7 @@
     async fn watch(&self, key: &str, query: &str, headers: &HeaderMap) -> HandlerResult {
         let after = self.revision(query_number(query, "after").unwrap_or(0), headers);
         let wait = Duration::from_millis(query_number(query, "wait").unwrap_or(0));
-        let changed = self.0.watch(key, after, wait).await?;
+        let changed = self.platform.watch(key, after, wait).await?;
         Ok(match changed {
             Some(value) => value_response(Some(value)),
             None => empty_response(StatusCode::NO_CONTENT),
@@ -144,13 +186,13 @@
 
     async fn grant_lease(&self, query: &str) -> HandlerResult {
         let ttl = Duration::from_millis(query_number(query, "ttl").unwrap_or(1000));
-        let lease = self.0.grant_lease(ttl).await?;
+        let lease = self.platform.grant_lease(ttl).await?;
         Ok(text_response(StatusCode::OK, lease.number.to_string()))
     }
 
     async fn renew_lease(&self, lease: &str, headers: &HeaderMap) -> HandlerResult {
         let lease = self.lease(lease.parse().unwrap_or(0), headers, ERA_HEADER);
-        let renewed = self.0.renew_lease(lease).await?;
+        let renewed = self.platform.renew_lease(lease).await?;
         Ok(empty_response(match renewed {
             true => StatusCode::OK,
             false => StatusCode::NOT_FOUND,
@@ -159,7 +201,7 @@
 
     async fn revoke_lease(&self, lease: &str, headers: &HeaderMap) -> HandlerResult {
         let lease = self.lease(lease.parse().unwrap_or(0), headers, ERA_HEADER);
-        self.0.revoke_lease(lease).await?;
+        self.platform.revoke_lease(lease).await?;
         Ok(empty_response(StatusCode::OK))
     }
 }
--- a/tests/fuzz_claims.rs
+++ b/tests/fuzz_claims.rs
@@ -141,6 +141,7 @@
                 }
                 ClaimOutcome::Held(_) => counts.add("held"),
                 ClaimOutcome::Full => counts.add("full"),
+                ClaimOutcome::Unsettled => panic!("the store did not come back from a copy"),
             }
         }
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -438,6 +438,13 @@
         assert_eq!(response.expect("the platform responds").status, 200);
     }
 
+    /// Sends a command without a body to the platform stand-in.
+    pub fn command_platform(&self, path: &str) {
+        let to = self.workdir.platform.expect("the platform was started");
+        let response = http_request(to, "POST", "x", path, &[], "");
+        assert_eq!(response.expect("the platform responds").status, 200);
+    }
+
     /// Sets the behaviour of one target, in JSON.
     pub fn set_behaviour(&self, target: usize, json: &str) {
         let response = http_request(
--- a/tests/test_requests.rs
+++ b/tests/test_requests.rs
@@ -300,6 +300,34 @@
     assert_eq!(runs.get("k3"), None);
 }
 
+/// The platform comes back from a copy that lacks the claim, and the caller repeats the request.
+#[test]
+fn a_key_whose_claim_the_platform_has_lost_does_not_run_again() {
+    let fleet = Fleet::start("lost-claim", 2, 2, "{\"service_ms\": 2}");
+    let send = |entry: usize| {
+        let headers = [("idempotency-key", "k1"), ("x-request-id", "k1")];
+        let to = fleet.entry_nodes[entry].callers;
+        http_request(to, "POST", "guild.example", "/deposits", &headers, "x")
+            .expect("the node responds")
+    };
+    fleet.command_platform("/copy");
+    assert_eq!(send(0).status, 200);
+    fleet.command_platform("/come-back");
+    for entry in [1, 0, 1, 0, 1, 0] {
+        let repeated = send(entry);
+        assert!(
+            repeated.header("tarragon-replayed").is_some() || repeated.status == 503,
+            "{}",
+            repeated.status
+        );
+        sleep_ms(100);
+    }
+    wait_until("the outcome is stored again", || {
+        send(1).header("tarragon-replayed").is_some()
+    });
+    assert_eq!(fleet.run_counts().get("k1"), Some(&1));
+}
+
 #[test]
 fn malformed_requests_are_rejected_and_forged_headers_are_ignored() {
     let fleet = Fleet::start("malformed", 1, 1, "{\"service_ms\": 1}");
--- a/tests/test_store.rs
+++ b/tests/test_store.rs
@@ -205,7 +205,7 @@
         max_connections: 16,
         drain_timeout: Duration::ZERO,
     };
-    let server = Arc::new(PlatformServer(served.clone()));
+    let server = Arc::new(PlatformServer::from(served.clone()));
     tokio::spawn(serve(listener, server, limits, stopped));
     let client = HttpPlatform::new(address);
     let copy = served.backup();
