Make a starting node ready with the first peer's answer

Cause: the join round took a node that is not ready for one that has not read the document, and waited a second for versions that were still propagating, as if the platform were down.

Change: whether the document has been read is recorded by itself; a node that has read it becomes ready with the first answer of a peer that knows no newer version, or after 0.3 s.

--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -93,6 +93,18 @@
         self.history_known.load(Ordering::Acquire) || self.started.elapsed() >= HISTORY_WAIT_MAX
     }
 
+    /// Makes a node ready that has read the operator's document, if it knows of no newer version.
+    pub(super) fn become_ready_with_document(&self) {
+        let newest_known = lock(&self.distribution).newest_known();
+        if self.has_read_document() && self.version() >= newest_known {
+            self.become_ready();
+        }
+    }
+
+    fn has_read_document(&self) -> bool {
+        self.document_read.load(Ordering::Acquire)
+    }
+
     /// Makes the node ready to serve callers.
     pub(super) fn become_ready(&self) {
         if !self.ready.swap(true, Ordering::AcqRel) {
@@ -130,10 +142,8 @@
 
     /// Returns the newest version in the platform, or `None` if the platform did not respond.
     async fn platform_version(&self) -> Option<Version> {
-        // Reading the operator's document makes the node ready, so a node that is not ready has not
-        // read it.
         if P::EXTERNAL_CONFIG {
-            return self.is_ready().then(|| self.version());
+            return self.has_read_document().then(|| self.version());
         }
         let found = self.read_head().await.ok()?;
         Some(found.map_or(Version(0), |(head, _)| head.version))
@@ -220,6 +230,7 @@
         let mut actions = Actions::new();
         lock(&self.distribution).handle_version(peer, version, Instant::now(), &mut actions);
         self.execute(actions);
+        self.become_ready_with_document();
         ContactResult::Version(version)
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -161,6 +161,8 @@
     /// Notified when a read of the operator's document has ended, whether it succeeded or failed.
     /// Joining waits for the first read.
     first_read: Notify,
+    /// Whether the operator's document has been read and put in force.
+    document_read: AtomicBool,
     /// Whether the last attempt to read or watch the operator's document failed.
     document_failing: AtomicBool,
     /// Number of times that the platform's head was older than the active version.
@@ -224,6 +226,7 @@
             history_known: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             first_read: Notify::new(),
+            document_read: AtomicBool::new(false),
             document_failing: AtomicBool::new(false),
             head_rollbacks: AtomicU64::new(0),
             stop: signal::Sender::new(false),
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -34,7 +34,7 @@
 /// Mean delay after a failed read or watch of the document.
 const DOCUMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time that a starting node with a document waits for its peers to tell their versions.
-const PEER_VERSIONS_WAIT: Duration = Duration::from_millis(500);
+const PEER_VERSIONS_WAIT: Duration = Duration::from_millis(300);
 /// Mean delay after a failed watch on the head.
 const WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -229,7 +229,8 @@
             return Duration::ZERO;
         };
         self.adopt_document(document);
-        if !self.is_ready() && self.version() >= document.version() {
+        if self.version() >= document.version() && !self.document_read.swap(true, Ordering::AcqRel)
+        {
             tokio::spawn(self.clone().become_ready_without_peers());
         }
         // After the delay, versions that follow in quick succession are read together.
@@ -240,10 +241,7 @@
     /// platform may have come back from a copy with an older document than the peers'.
     async fn become_ready_without_peers(self: Arc<Self>) {
         tokio::time::sleep(PEER_VERSIONS_WAIT).await;
-        let newest_known = lock(&self.distribution).newest_known();
-        if self.version() >= newest_known {
-            self.become_ready();
-        }
+        self.become_ready_with_document();
     }
 
     /// Returns whether this node watches the document itself.
