Log what a target was running when it ended; a test that fails

The ingress computes fingerprints of a request from method, host, path, query, body and caller, and sends them to the gate with the attempt. When connections to the target break and it then accepts none, and it had not said that it leaves, the gate logs `target ended` with the fingerprints of the requests that broke.

No decision changed.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,6 +21,7 @@
 pub mod queue;
 pub mod restarts;
 pub mod retry;
+pub mod target_end;
 pub mod traffic_split;
 pub mod transfer;
 pub mod watcher_slot;
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -22,7 +22,7 @@
     AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, LOAD_HEADER, SERVICE_HEADER,
 };
 use crate::protocol::peer::{PeerReply, PeerRequest};
-use crate::state::id::{AttemptId, Incarnation, Path};
+use crate::state::id::{AttemptId, Fingerprints, Incarnation, Path};
 use crate::state::object::{Class, Route};
 use crate::state::routing::{Candidate, RouteEntry, ServiceEntry};
 use crate::transport::client::SendError;
@@ -49,6 +49,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: RequestBody,
     pub(super) deadline: Instant,
+    /// Fingerprints of the request.
+    pub(super) fingerprints: Fingerprints,
     /// Total time for which the instance had been suspended when the request was read.
     pub(super) suspended: Duration,
     /// Time at which the route's latency objective ends.
--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -23,6 +23,8 @@
 const BUFFER_TOTAL_BYTES: usize = 64 << 20;
 /// Largest response that is buffered before it is forwarded, in bytes.
 pub(super) const RESPONSE_BUFFER_MAX_BYTES: u64 = 64 << 10;
+/// Number of bytes of a streamed body by which it is told from others.
+const PREFIX_BYTES: usize = 4 << 10;
 /// Amount of buffer memory that one semaphore permit represents, in bytes.
 const BUFFER_UNIT_BYTES: u64 = 1024;
 
@@ -64,7 +66,7 @@
         // A body of unknown length may need the largest buffer.
         match self.reserve(length.unwrap_or(self.max_bytes)) {
             Some(permits) => self.buffer(body, permits).await,
-            None => Ok(RequestBody::streamed(length, body)),
+            None => stream(length, body).await,
         }
     }
 
@@ -80,9 +82,7 @@
                 bytes.extend_from_slice(&data);
             }
             if bytes.len() as u64 > self.max_bytes {
-                let read = full_body(bytes.freeze());
-                let rest = Body::new(ChainedBody { read, rest: body });
-                return Ok(RequestBody::streamed(None, rest));
+                return Ok(RequestBody::streamed(None, bytes.freeze(), body));
             }
         }
         let (bytes, _permit) = (bytes.freeze(), Some(permits));
@@ -117,6 +117,8 @@
 pub(super) struct Upload {
     /// Value of the `Content-Length` header, if it is known.
     length: Option<u64>,
+    /// The first [`PREFIX_BYTES`], or all bytes of a shorter body.
+    prefix: Bytes,
     /// `None` once an attempt has started to read the body.
     body: Mutex<Option<Body>>,
     /// Whether reading from the caller failed: the upload was aborted or malformed.
@@ -124,10 +126,14 @@
 }
 
 impl RequestBody {
-    fn streamed(length: Option<u64>, body: Body) -> RequestBody {
+    /// A body that is streamed: the bytes that have been read, and the rest.
+    fn streamed(length: Option<u64>, read: Bytes, rest: Body) -> RequestBody {
+        let prefix = read.slice(..read.len().min(PREFIX_BYTES));
+        let read = full_body(read);
         RequestBody::Streamed(Arc::new(Upload {
             length,
-            body: Mutex::new(Some(body)),
+            prefix,
+            body: Mutex::new(Some(Body::new(ChainedBody { read, rest }))),
             failed: AtomicBool::new(false),
         }))
     }
@@ -140,6 +146,15 @@
         }
     }
 
+    /// Returns the part of the body that tells it from others: all of a buffered one, and the
+    /// beginning of a streamed one.
+    pub(super) fn prefix(&self) -> &[u8] {
+        match self {
+            RequestBody::Buffered(buffered) => &buffered.bytes,
+            RequestBody::Streamed(upload) => &upload.prefix,
+        }
+    }
+
     /// Returns the body for one attempt. If an earlier attempt has read from a streamed body,
     /// reading it again fails.
     pub(super) fn open(&self) -> Body {
@@ -170,6 +185,22 @@
     }
 }
 
+/// Reads the beginning of a body that is streamed.
+///
+/// # Errors
+/// Returns an error if the caller aborts the upload.
+async fn stream(length: Option<u64>, mut body: Body) -> io::Result<RequestBody> {
+    let mut read = BytesMut::new();
+    while read.len() < PREFIX_BYTES
+        && let Some(frame) = body.frame().await
+    {
+        if let Ok(data) = frame?.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+    Ok(RequestBody::streamed(length, read.freeze(), body))
+}
+
 /// Reads a streamed body. It takes the body from the upload at the first read, so that an attempt
 /// that ends before it reads leaves the body for the next attempt.
 struct UploadReader {
@@ -230,6 +261,16 @@
         }
         Pin::new(&mut self.rest).poll_frame(cx)
     }
+
+    fn size_hint(&self) -> SizeHint {
+        let (read, rest) = (self.read.size_hint(), self.rest.size_hint());
+        let mut hint = SizeHint::new();
+        hint.set_lower(read.lower() + rest.lower());
+        if let (Some(read), Some(rest)) = (read.upper(), rest.upper()) {
+            hint.set_upper(read + rest);
+        }
+        hint
+    }
 }
 
 /// Buffers a short response, so that a truncated one is detected before any of it is forwarded.
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, Sleep};
 
 use super::body::{RESPONSE_BUFFER_MAX_BYTES, buffer_short_response};
+use super::fingerprint::{fingerprint_text, take_fingerprints};
 use super::{Node, TARGET_IDLE_TIMEOUT, lock, unix_millis};
 use crate::coordination::gate::{Admission, AdmissionRequest, Gate, GateAction, GateActions};
 use crate::coordination::outcome::{NotRun, OUTCOME_HEADER, Outcome, UnknownReason};
@@ -28,7 +29,7 @@
     AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, INTERNAL_HEADERS, LOAD_HEADER,
     SERVICE_HEADER,
 };
-use crate::state::id::{AttemptId, Incarnation};
+use crate::state::id::{AttemptId, Fingerprints, Incarnation};
 use crate::state::member::TargetStart;
 use crate::state::rate::RequestRate;
 use crate::transport::client::SendError;
@@ -122,17 +123,26 @@
     }
 }
 
+/// An attempt that may be sent to the local target.
+struct AdmittedAttempt<P: Platform> {
+    guard: AttemptGuard<P>,
+    context: AttemptContext,
+    fingerprints: Fingerprints,
+    deadline: Instant,
+}
+
 impl<P: Platform> Node<P> {
     /// Runs one attempt at the local target, if the gate admits it.
     pub(super) async fn run_local(
         self: &Arc<Self>,
         context: AttemptContext,
-        request: Request<Body>,
+        mut request: Request<Body>,
     ) -> Response<Body> {
         let Some(target) = &self.settings.target else {
             return refusal_response(NotRun::NoTarget, 0, Duration::ZERO);
         };
         let deadline = Instant::now() + context.time_left;
+        let fingerprints = take_fingerprints(request.headers_mut());
         let guard = match self.admit_attempt(context, deadline).await {
             Ok(guard) => guard,
             Err(Outcome::NotRun(reason)) => {
@@ -141,8 +151,13 @@
             }
             Err(_) => return unknown_response(UnknownReason::Repeated, self.gate_load()),
         };
-        self.send_to_target(guard, target, request, context, deadline)
-            .await
+        let admitted = AdmittedAttempt {
+            guard,
+            context,
+            fingerprints,
+            deadline,
+        };
+        self.send_to_target(admitted, target, request).await
     }
 
     /// Sends queued attempts to a target that names a rate, when the rate allows.
@@ -222,12 +237,16 @@
     /// Sends an admitted attempt to the local target and returns the response to the ingress.
     async fn send_to_target(
         self: &Arc<Self>,
-        mut guard: AttemptGuard<P>,
+        admitted: AdmittedAttempt<P>,
         target: &LocalTarget,
         mut request: Request<Body>,
-        context: AttemptContext,
-        deadline: Instant,
     ) -> Response<Body> {
+        let AdmittedAttempt {
+            mut guard,
+            context,
+            fingerprints,
+            deadline,
+        } = admitted;
         let dialect = self.platform.dialect();
         strip_hop_headers(request.headers_mut());
         remove_attempts_left(request.headers_mut());
@@ -290,10 +309,14 @@
             Err(_) => Outcome::Unknown(UnknownReason::Timeout),
         };
         log::info!(
-            "not answered id={request_id} attempt={} outcome={outcome} instance={}",
+            "not answered id={request_id} attempt={} outcome={outcome} instance={} fingerprints={}",
             context.attempt,
             instance.unwrap_or("-"),
+            fingerprint_text(&fingerprints),
         );
+        if outcome == Outcome::Unknown(UnknownReason::TargetBroken) {
+            self.note_broken(&sent_to.start, &fingerprints, target);
+        }
         guard.outcome = outcome;
         drop(guard);
         match outcome {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::attempt::{AttemptResult, Call};
+use super::fingerprint::{fingerprints, write_fingerprints};
 use super::gate::strip_hop_headers;
 use super::local_response::{ResponseWithOutcome, bad_request, no_route, replayed_response};
 use super::{Node, lock};
@@ -25,7 +26,7 @@
 use crate::coordination::traffic_split;
 use crate::protocol::dialect::{Dialect, header_number};
 use crate::protocol::headers::ATTEMPTS_LEFT_HEADER;
-use crate::state::id::{AttemptId, Path};
+use crate::state::id::{AttemptId, Fingerprints, Path};
 use crate::state::object::Limits;
 use crate::state::routing::{RouteEntry, RoutingTable};
 use crate::transport::clock::read_clocks;
@@ -154,7 +155,9 @@
                 .map(|o| started + o.saturating_sub(elapsed)),
             route: route.clone(),
             service: pick_service(route),
+            fingerprints: Fingerprints::new(),
         };
+        call.fingerprints = fingerprints(&call, dialect.caller(&call.headers));
         if !route.route.requires_key {
             return self.run_attempts(&mut call, trace).await;
         }
@@ -220,6 +223,7 @@
         let max_attempts = header_number(&call.headers, ATTEMPTS_LEFT_HEADER).unwrap_or(u64::MAX);
         let max_attempts = max_attempts.clamp(1, route.route.max_attempts.into()) as u8;
         strip_hop_headers(&mut call.headers);
+        write_fingerprints(&call.fingerprints, &mut call.headers);
         lock(&self.retry_budgets)
             .for_service(&call.service)
             .record_request();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -20,7 +20,9 @@
 mod claims;
 pub mod config;
 mod control;
+mod crash;
 mod dump;
+mod fingerprint;
 mod gate;
 mod gc;
 mod ingress;
@@ -57,6 +59,7 @@
 use crate::coordination::pick::Picker;
 use crate::coordination::restarts::PeerRestarts;
 use crate::coordination::retry::RetryBudgets;
+use crate::coordination::target_end::BrokenAttempts;
 use crate::coordination::transfer::LinkSchedule;
 use crate::coordination::watcher_slot::WatcherSlot;
 use crate::node::config::{FleetRetries, NodeSettings};
@@ -132,6 +135,7 @@
     /// Notified when an attempt was queued or has ended while the target names a rate.
     pace_wake: Notify,
     target_health: Mutex<TargetHealth>,
+    broken_attempts: Mutex<BrokenAttempts>,
     /// Schedule of large bodies on this instance's network link, or `None` if the link rate is not
     /// configured.
     link_schedule: Mutex<Option<LinkSchedule>>,
@@ -205,6 +209,7 @@
             gate: Mutex::new(gate::GateState::new(initial_gate)),
             pace_wake: Notify::new(),
             target_health: Mutex::new(TargetHealth::default()),
+            broken_attempts: Mutex::default(),
             link_schedule: Mutex::new(settings.link_mbit.map(|rate| LinkSchedule::new(rate, now))),
             picker: Mutex::new(Picker::new(rng.fork())),
             peer_restarts: Mutex::new(PeerRestarts::default()),
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -63,6 +63,9 @@
     /// Sets the headers by which the ingress informs the target about the caller.
     fn set_caller_headers(&self, headers: &mut HeaderMap);
 
+    /// Returns who sent a request, according to its headers; empty if they do not tell.
+    fn caller<'a>(&self, headers: &'a HeaderMap) -> &'a str;
+
     /// Sets the headers by which a gate informs its target.
     fn set_target_headers(&self, headers: &mut HeaderMap, hop: TargetHop<'_>);
 
@@ -113,6 +116,10 @@
 
     fn set_caller_headers(&self, _headers: &mut HeaderMap) {}
 
+    fn caller<'a>(&self, _headers: &'a HeaderMap) -> &'a str {
+        ""
+    }
+
     fn set_target_headers(&self, headers: &mut HeaderMap, hop: TargetHop<'_>) {
         headers.insert(
             DEADLINE_HEADER,
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -1,7 +1,8 @@
 //! A target stand-in: an HTTP server with a limited number of slots, a service time, a cold start,
 //! load shedding and delayed health reports.
 //!
-//! It counts how often each request id was run, so that tests can detect a request that ran twice.
+//! It counts how often each request id was run, so that tests can detect a request that ran twice. A
+//! request with the query parameter `crash` aborts the process once it has run.
 
 use std::collections::HashMap;
 use std::io;
@@ -197,6 +198,7 @@
         let id = header_value(&request, REQUEST_ID_HEADER).unwrap_or_else(|| "none".to_string());
         let length = query_parameter(&request, "bytes").unwrap_or(0) as usize;
         let service_time = self.service_time(&request, behaviour);
+        let crashes = query_parameter(&request, "crash").is_some();
         let remaining = header_value(&request, DEADLINE_HEADER).and_then(|v| v.parse().ok());
         // A request counts as run only when its body has arrived completely, because a real target
         // would not execute an order before that.
@@ -207,6 +209,10 @@
             return empty_response(StatusCode::BAD_REQUEST);
         }
         *lock(&self.runs).entry(id.clone()).or_default() += 1;
+        if crashes {
+            tokio::time::sleep(service_time).await;
+            std::process::abort();
+        }
         match remaining.map(Duration::from_millis) {
             Some(remaining) if remaining < service_time => {
                 tokio::time::sleep(remaining).await;
--- a/src/state/id.rs
+++ b/src/state/id.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use derive_more::{Display, From};
+use smallvec::SmallVec;
 
 /// A configuration version. Versions only increase; version zero is the empty configuration.
 #[derive(Clone, Copy, Debug, Default, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -38,6 +39,15 @@
 #[derive(Clone, Copy, Debug, Default, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Incarnation(pub u64);
 
+/// Identifies what a request is, whatever its id: the same request that comes again has the same
+/// fingerprint. A digest of the parts that the caller chooses, written as 16 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Default, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0:016x}")]
+pub struct Fingerprint(pub u64);
+
+/// The fingerprints of one request: for any caller and, if the caller is known, for this one.
+pub type Fingerprints = SmallVec<[Fingerprint; 2]>;
+
 /// Parses 32 hexadecimal digits into the value of a [`ChangeId`] or [`AttemptId`].
 ///
 /// ```
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -126,6 +126,14 @@
         (process, address)
     }
 
+    /// Starts a target stand-in at the address of one that has ended.
+    pub fn restart_target(&self, address: SocketAddr, behaviour: &str) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tarragon-standin"));
+        let listen = address.to_string();
+        command.args(["target", "--listen", &listen, "--behaviour", behaviour]);
+        Process::start(command)
+    }
+
     /// Starts a node; `target` is the service and address of its local target.
     pub fn start_node(
         &self,
@@ -438,6 +446,18 @@
         assert_eq!(response.expect("the platform responds").status, 200);
     }
 
+    /// Starts the targets that have ended again. Returns how many there were.
+    pub fn restart_ended_targets(&mut self, behaviour: &str) -> usize {
+        let mut ended = 0;
+        for (process, address) in &mut self.targets {
+            if process.child.try_wait().expect("a child process").is_some() {
+                *process = self.workdir.restart_target(*address, behaviour);
+                ended += 1;
+            }
+        }
+        ended
+    }
+
     /// Sends a command without a body to the platform stand-in.
     pub fn command_platform(&self, path: &str) {
         let to = self.workdir.platform.expect("the platform was started");
