Refuse a request that has crashed three targets, in the whole fleet

Cause: nothing remembered. A node forgets a request with its last attempt, and the next arrival, with another id and at any node, was a new one.

Change: the gate whose target has ended tells the fleet which requests it was running (coordination/crash_table.rs: records that merge by union, at most 256 of at most 128 fingerprints, gossiped a number of times that grows with the logarithm of the fleet, and compared with a random peer every 2 s, so that a node that starts learns them). A request under which three targets have ended is refused at the ingress and at the gate as not run, with the ends that decided it in the line; one that is answered anywhere is cleared everywhere, since one that crashes its targets never is. Of the requests under which a target has ended only one runs at a time at a target, so that the next end tells it from those that ran beside it.

Bounds and merging: tests/test_crash_table.rs.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 pub mod claim_memory;
 pub mod claims;
 pub mod commit;
+pub mod crash_table;
 pub mod distribution;
 pub mod gate;
 pub mod health;
--- a/src/coordination/outcome.rs
+++ b/src/coordination/outcome.rs
@@ -60,10 +60,13 @@
     /// The node's limit on requests in progress is reached.
     #[display("overloaded")]
     Overloaded,
+    /// Too many targets have ended while they ran the same request.
+    #[display("crashes-targets")]
+    CrashesTargets,
 }
 
 impl NotRun {
-    const ALL: [NotRun; 17] = [
+    const ALL: [NotRun; 18] = [
         NotRun::Unreachable,
         NotRun::Leaving,
         NotRun::QueueFull,
@@ -81,6 +84,7 @@
         NotRun::NotReady,
         NotRun::CallerGone,
         NotRun::Overloaded,
+        NotRun::CrashesTargets,
     ];
 
     /// Whether the request reached a target that did not run it, so that the attempt caused load
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -200,7 +200,7 @@
     let permitted = match outcome {
         Outcome::Answered => false,
         Outcome::NotRun(NotRun::CallerGone | NotRun::NotReady | NotRun::NoTarget) => false,
-        Outcome::NotRun(NotRun::Deadline) => false,
+        Outcome::NotRun(NotRun::Deadline | NotRun::CrashesTargets) => false,
         Outcome::NotRun(_) => true,
         Outcome::Unknown(_) => context.idempotent,
     };
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -26,7 +26,7 @@
 use crate::transport::platform::Platform;
 
 /// Interval between ticks of the state machines.
-const TICK_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Up to this fleet size, a node that learned a version from the platform announces it to all
 /// peers.
 const ANNOUNCE_ALL_MAX_NODES: usize = 16;
@@ -80,6 +80,7 @@
             let now = Instant::now();
             self.tick(now);
             ticks = ticks.wrapping_add(1);
+            self.spread_ends(ticks);
             if ticks.is_multiple_of(EVICT_INTERVAL_TICKS) {
                 lock(&self.picker).evict_unused(now);
             }
@@ -122,6 +123,8 @@
                     let _ = waiter.send(deltas);
                 }
             }
+            Datagram::Ends(records) => self.handle_ends(&records, now),
+            Datagram::EndsDigest(digest) => self.answer_ends_digest(from, digest),
             Datagram::Member(message) => {
                 if let Some(version) = reported_version(&message) {
                     lock(&self.distribution).handle_version(from, version, now, &mut actions);
@@ -331,7 +334,7 @@
     }
 
     /// Sends a datagram, unless the byte budget has too little left for the datagram's priority.
-    fn send(&self, to: SocketAddr, datagram: &Datagram) {
+    pub(super) fn send(&self, to: SocketAddr, datagram: &Datagram) {
         let bytes = {
             let mut sender = lock(&self.sender);
             let bytes = sender.sealer.seal(datagram);
@@ -413,7 +416,9 @@
 fn send_priority(datagram: &Datagram) -> SendPriority {
     match datagram {
         Datagram::Member(Message::Gossip { .. }) => SendPriority::Gossip,
-        Datagram::Member(Message::TableDigests { .. }) => SendPriority::Repair,
+        Datagram::Member(Message::TableDigests { .. }) | Datagram::EndsDigest(_) => {
+            SendPriority::Repair
+        }
         _ => SendPriority::Always,
     }
 }
--- a/src/node/dump.rs
+++ b/src/node/dump.rs
@@ -44,6 +44,10 @@
             let distribution = lock(&self.distribution);
             (distribution.counts(), distribution.newest_known())
         };
+        let (target_ends, refused_requests) = {
+            let table = lock(&self.crash_table);
+            (table.len(), table.refused_count())
+        };
         let rate = lock(&self.target_notices).rate();
         let state = lock(&self.gate);
         let gate_counts = state.gate.counts();
@@ -59,6 +63,8 @@
                 self.head_rollbacks.load(Ordering::Relaxed) as f64,
             ),
             ("platform_era", self.platform.era().0 as f64),
+            ("target_ends", target_ends as f64),
+            ("requests_refused_for_crashes", refused_requests as f64),
             ("members_alive", alive as f64),
             ("members_awareness", f64::from(awareness)),
             ("members_suspected", member_counts.suspected as f64),
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -27,7 +27,7 @@
 };
 use crate::protocol::headers::{
     AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, INTERNAL_HEADERS, LOAD_HEADER,
-    SERVICE_HEADER,
+    SERVICE_HEADER, SUSPECT_HEADER,
 };
 use crate::state::id::{AttemptId, Fingerprints, Incarnation};
 use crate::state::member::TargetStart;
@@ -143,12 +143,19 @@
         };
         let deadline = Instant::now() + context.time_left;
         let fingerprints = take_fingerprints(request.headers_mut());
+        let request_id = self.platform.dialect().request_id(request.headers());
+        let is_marked = request.headers().contains_key(SUSPECT_HEADER);
+        let _turn = match self.take_turn(&fingerprints, is_marked, deadline).await {
+            Ok(turn) => turn,
+            Err(reason) => return self.refuse(reason, &context, request_id),
+        };
         let guard = match self.admit_attempt(context, deadline).await {
-            Ok(guard) => guard,
-            Err(Outcome::NotRun(reason)) => {
-                let request_id = self.platform.dialect().request_id(request.headers());
-                return self.refuse(reason, &context, request_id);
+            Ok(guard) if self.is_refused(&fingerprints) => {
+                drop(guard);
+                return self.refuse(NotRun::CrashesTargets, &context, request_id);
             }
+            Ok(guard) => guard,
+            Err(Outcome::NotRun(reason)) => return self.refuse(reason, &context, request_id),
             Err(_) => return unknown_response(UnknownReason::Repeated, self.gate_load()),
         };
         let admitted = AdmittedAttempt {
@@ -300,6 +307,7 @@
         };
         let outcome = match tokio::time::timeout_at(deadline, exchange).await {
             Ok(Ok((ResponseKind::Answered, response))) => {
+                self.note_answered(&fingerprints);
                 return self.stream_response(guard, response, deadline);
             }
             Ok(Ok((ResponseKind::NotRun(reason), _))) => Outcome::NotRun(reason),
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -19,13 +19,14 @@
 use super::local_response::{ResponseWithOutcome, bad_request, no_route, replayed_response};
 use super::{Node, lock};
 use crate::coordination::claims::{ClaimOutcome, KeyHash, KeyOperation, KeyState};
+use crate::coordination::crash_table::RETENTION;
 use crate::coordination::outcome::{NotRun, Outcome, UnknownReason};
 use crate::coordination::retry::{
     self, RetryContext, RetryDecision, is_idempotent, retry_after, retry_after_start,
 };
 use crate::coordination::traffic_split;
 use crate::protocol::dialect::{Dialect, header_number};
-use crate::protocol::headers::ATTEMPTS_LEFT_HEADER;
+use crate::protocol::headers::{ATTEMPTS_LEFT_HEADER, SUSPECT_HEADER};
 use crate::state::id::{AttemptId, Fingerprints, Path};
 use crate::state::object::Limits;
 use crate::state::routing::{RouteEntry, RoutingTable};
@@ -158,6 +159,11 @@
             fingerprints: Fingerprints::new(),
         };
         call.fingerprints = fingerprints(&call, dialect.caller(&call.headers));
+        if self.is_refused(&call.fingerprints) {
+            self.log_crash_refusal(dialect.request_id(&call.headers), &call.fingerprints);
+            trace.retry_after = RETENTION;
+            return self.local_response(Outcome::NotRun(NotRun::CrashesTargets), RETENTION);
+        }
         if !route.route.requires_key {
             return self.run_attempts(&mut call, trace).await;
         }
@@ -262,6 +268,10 @@
             if matches!(outcome, Outcome::Unknown(_)) {
                 unknown_outcome = Some(outcome);
             }
+            if outcome == Outcome::Unknown(UnknownReason::TargetBroken) {
+                let mark = HeaderValue::from_static("1");
+                call.headers.insert(SUSPECT_HEADER, mark);
+            }
             let context = RetryContext {
                 idempotent,
                 replayable: call.body.is_replayable(),
@@ -270,7 +280,11 @@
                 max_attempts,
                 deadline: call.deadline,
             };
-            match self.decide_retry(outcome, context, &call.service) {
+            let decision = match self.is_refused(&call.fingerprints) {
+                true => RetryDecision::Finish,
+                false => self.decide_retry(outcome, context, &call.service),
+            };
+            match decision {
                 RetryDecision::Finish => {
                     // That the last attempt did not run says nothing about the earlier ones.
                     let outcome = unknown_outcome.unwrap_or(outcome);
--- a/src/node/local_response.rs
+++ b/src/node/local_response.rs
@@ -40,6 +40,9 @@
         Outcome::NotRun(NotRun::CallerGone) => {
             "the request body was incomplete; send the request again with its whole body"
         }
+        Outcome::NotRun(NotRun::CrashesTargets) => {
+            "the request was not run, because targets have ended while they ran the same request; do not send it again"
+        }
         Outcome::NotRun(_) => "the request was not run; send it again later",
         Outcome::Unknown(UnknownReason::KeyInDoubt) => {
             "an earlier request with this key may have run; check its result before you send a new one"
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -50,6 +50,7 @@
 use crate::coordination::announce::AnnouncedTarget;
 use crate::coordination::budget::ByteBudget;
 use crate::coordination::claim_memory::ClaimMemory;
+use crate::coordination::crash_table::CrashTable;
 use crate::coordination::distribution::Distribution;
 use crate::coordination::gate::Gate;
 use crate::coordination::health::TargetHealth;
@@ -136,6 +137,9 @@
     pace_wake: Notify,
     target_health: Mutex<TargetHealth>,
     broken_attempts: Mutex<BrokenAttempts>,
+    crash_table: Mutex<CrashTable>,
+    /// Held while a suspect runs at the local target: a request under which a target has ended.
+    suspect_turn: Semaphore,
     /// Schedule of large bodies on this instance's network link, or `None` if the link rate is not
     /// configured.
     link_schedule: Mutex<Option<LinkSchedule>>,
@@ -210,6 +214,8 @@
             pace_wake: Notify::new(),
             target_health: Mutex::new(TargetHealth::default()),
             broken_attempts: Mutex::default(),
+            crash_table: Mutex::default(),
+            suspect_turn: Semaphore::new(1),
             link_schedule: Mutex::new(settings.link_mbit.map(|rate| LinkSchedule::new(rate, now))),
             picker: Mutex::new(Picker::new(rng.fork())),
             peer_restarts: Mutex::new(PeerRestarts::default()),
--- a/src/protocol/datagram.rs
+++ b/src/protocol/datagram.rs
@@ -9,8 +9,10 @@
 
 use super::key::{FleetKey, MAC_BYTES};
 use super::wire::{WireDelta, WireError, WireMemberRecord, convert_all};
+use crate::coordination::crash_table::{EndId, EndRecord};
 use crate::coordination::members::{Message, PeerSummary, RECORDS_PER_DATAGRAM};
-use crate::state::id::{Incarnation, Version};
+use crate::coordination::target_end::CONCERNED_MAX;
+use crate::state::id::{Fingerprint, Incarnation, Version};
 use crate::state::member::{MemberRecord, TABLE_BUCKETS};
 use crate::state::snapshot::Delta;
 
@@ -33,6 +35,10 @@
         /// The sender's current version.
         since: Version,
     },
+    /// Ends of targets, and the requests that they were running.
+    Ends(Vec<EndRecord>),
+    /// Digest of the ends that the sender knows of; zero without any.
+    EndsDigest(u64),
     /// Reply to a [`Datagram::Fetch`].
     Fetched {
         /// Value from the request.
@@ -49,6 +55,7 @@
         match self {
             Datagram::Announce(_) | Datagram::Acknowledge(_) => "announce",
             Datagram::Fetch { .. } | Datagram::Fetched { .. } => "delta",
+            Datagram::Ends(_) | Datagram::EndsDigest(_) => "ends",
             Datagram::Member(Message::Gossip { .. }) => "member",
             Datagram::Member(Message::TableDigests { .. }) => "repair",
             Datagram::Member(_) => "probe",
@@ -81,6 +88,36 @@
     Acknowledge(u64),
     Fetch(u64, u64),
     Fetched(u64, Option<Vec<WireDelta>>),
+    Ends(Vec<WireEndRecord>),
+    EndsDigest(u64),
+}
+
+/// Wire form of [`EndRecord`]: the end, the fingerprints in little-endian bytes, and the bit set.
+#[derive(Serialize, Deserialize)]
+struct WireEndRecord(u64, Vec<[u8; 8]>, u128);
+
+impl From<&EndRecord> for WireEndRecord {
+    fn from(r: &EndRecord) -> WireEndRecord {
+        let concerned = r.concerned.iter().map(|f| f.0.to_le_bytes());
+        WireEndRecord(r.end.0, concerned.collect(), r.cleared)
+    }
+}
+
+impl TryFrom<WireEndRecord> for EndRecord {
+    type Error = WireError;
+
+    fn try_from(wire: WireEndRecord) -> Result<EndRecord, WireError> {
+        let WireEndRecord(end, concerned, cleared) = wire;
+        if concerned.len() > CONCERNED_MAX {
+            return Err(WireError::OutOfBounds("fingerprints"));
+        }
+        let concerned = concerned.into_iter().map(u64::from_le_bytes);
+        Ok(EndRecord {
+            end: EndId(end),
+            concerned: concerned.map(Fingerprint).collect(),
+            cleared,
+        })
+    }
 }
 
 impl From<&Datagram> for Body {
@@ -93,6 +130,8 @@
                 let encode = |d: &Vec<Arc<Delta>>| d.iter().map(|d| (&**d).into()).collect();
                 Body::Fetched(*fetch_id, deltas.as_ref().map(encode))
             }
+            Datagram::Ends(records) => Body::Ends(records.iter().map(Into::into).collect()),
+            Datagram::EndsDigest(digest) => Body::EndsDigest(*digest),
             Datagram::Member(m) => m.into(),
         }
     }
@@ -141,6 +180,8 @@
         Ok(match body {
             Body::Announce(v) => Datagram::Announce(Version(v)),
             Body::Acknowledge(v) => Datagram::Acknowledge(Version(v)),
+            Body::Ends(records) => Datagram::Ends(convert_all(records)?),
+            Body::EndsDigest(digest) => Datagram::EndsDigest(digest),
             Body::Fetch(fetch_id, since) => Datagram::Fetch {
                 fetch_id,
                 since: Version(since),
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -27,6 +27,9 @@
 pub const SERVICE_HEADER: &str = "tarragon-service";
 /// Fingerprints of the request, in hexadecimal, separated by commas. An ingress sets it for the gate.
 pub const FINGERPRINTS_HEADER: &str = "tarragon-fingerprints";
+/// Present if the connection to the target of an earlier attempt broke, so that the target may have
+/// ended.
+pub const SUSPECT_HEADER: &str = "tarragon-suspect";
 /// Number of attempts that the request may still use. A node makes no more attempts than the header
 /// of an incoming request allows, so that attempts do not multiply along a chain of calls.
 pub const ATTEMPTS_LEFT_HEADER: &str = "tarragon-attempts-left";
@@ -46,7 +49,7 @@
 
 /// Headers that only nodes may set. Nodes remove them from requests of callers and from responses
 /// of targets.
-pub const INTERNAL_HEADERS: [&str; 7] = [
+pub const INTERNAL_HEADERS: [&str; 8] = [
     ATTEMPT_CONTEXT_HEADER,
     ATTEMPT_ID_HEADER,
     LOAD_HEADER,
@@ -54,6 +57,7 @@
     INCARNATION_HEADER,
     SERVICE_HEADER,
     FINGERPRINTS_HEADER,
+    SUSPECT_HEADER,
 ];
 
 /// Data about an attempt that an ingress sends to the gate in [`ATTEMPT_CONTEXT_HEADER`].
