Split the gate's headers and responses from its service

The first response's era is logged as information, only a rise as a warning, and nothing is said of claims where there are none.

--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -215,7 +215,9 @@
             return BTreeSet::new();
         }
         let shards: BTreeSet<u64> = memory.shards().collect();
-        log::warn!("claims written again era={era} shards={}", shards.len());
+        if !shards.is_empty() {
+            log::warn!("claims written again era={era} shards={}", shards.len());
+        }
         shards
     }
 
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -12,42 +12,32 @@
 use gotham::helpers::http::Body;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, Sleep};
 
 use super::body::{RESPONSE_BUFFER_MAX_BYTES, buffer_short_response};
 use super::fingerprint::{fingerprint_text, take_fingerprints};
+use super::gate_response::{
+    rate_text, refusal_response, set_outcome_headers, strip_hop_headers, unknown_response,
+};
 use super::{Node, TARGET_IDLE_TIMEOUT, lock, unix_millis};
 use crate::coordination::gate::{Admission, AdmissionRequest, Gate, GateAction, GateActions};
-use crate::coordination::outcome::{NotRun, OUTCOME_HEADER, Outcome, UnknownReason};
+use crate::coordination::outcome::{NotRun, Outcome, UnknownReason};
 use crate::node::config::LocalTarget;
 use crate::protocol::dialect::{
     Dialect, ResponseKind, TargetHop, keep_alive_timeout, remove_attempts_left,
 };
 use crate::protocol::headers::{
-    AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, INTERNAL_HEADERS, LOAD_HEADER,
-    SERVICE_HEADER, SUSPECT_HEADER,
+    AttemptContext, INCARNATION_HEADER, SERVICE_HEADER, SUSPECT_HEADER,
 };
 use crate::state::id::{AttemptId, Fingerprints, Incarnation};
 use crate::state::member::TargetStart;
-use crate::state::rate::RequestRate;
 use crate::transport::client::SendError;
 use crate::transport::clock::read_clocks;
-use crate::transport::http::{Endpoint, empty_response};
+use crate::transport::http::Endpoint;
 use crate::transport::platform::Platform;
 
-/// Hop-by-hop headers, which apply to a single connection (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// The admission state machine and the attempts that wait for it, under one lock.
 pub(super) struct GateState {
     pub(super) gate: Gate,
@@ -469,51 +459,3 @@
         self.body.size_hint()
     }
 }
-
-/// Formats a rate for a log line; `-` if there is none.
-pub(super) fn rate_text(rate: Option<RequestRate>) -> String {
-    rate.map_or_else(|| "-".to_string(), |r| r.to_string())
-}
-
-/// Removes hop-by-hop headers, and headers that nodes use among themselves.
-pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(hyper::header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    for name in HOP_BY_HOP.into_iter().chain(INTERNAL_HEADERS) {
-        headers.remove(name);
-    }
-    headers.remove(OUTCOME_HEADER);
-}
-
-/// Sets the headers of a response that report the outcome and the load of the gate.
-pub(super) fn set_outcome_headers(headers: &mut HeaderMap, outcome: Outcome, load: u32) {
-    let text = outcome.to_string();
-    if let Ok(value) = HeaderValue::from_str(&text) {
-        headers.insert(OUTCOME_HEADER, value);
-    }
-    headers.insert(LOAD_HEADER, HeaderValue::from(load));
-}
-
-/// Builds the response to an attempt that was not run.
-fn refusal_response(reason: NotRun, load: u32, backlog: Duration) -> Response<Body> {
-    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
-    set_outcome_headers(response.headers_mut(), Outcome::NotRun(reason), load);
-    let backlog = HeaderValue::from(backlog.as_millis() as u64);
-    response.headers_mut().insert(BACKLOG_HEADER, backlog);
-    response
-}
-
-/// Builds the response to an attempt that may have run.
-fn unknown_response(reason: UnknownReason, load: u32) -> Response<Body> {
-    let mut response = empty_response(StatusCode::BAD_GATEWAY);
-    set_outcome_headers(response.headers_mut(), Outcome::Unknown(reason), load);
-    response
-}
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -15,7 +15,7 @@
 
 use super::attempt::{AttemptResult, Call};
 use super::fingerprint::{fingerprints, write_fingerprints};
-use super::gate::strip_hop_headers;
+use super::gate_response::strip_hop_headers;
 use super::local_response::{ResponseWithOutcome, bad_request, no_route, replayed_response};
 use super::{Node, lock};
 use crate::coordination::claims::{ClaimOutcome, KeyHash, KeyOperation, KeyState};
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -24,6 +24,7 @@
 mod dump;
 mod fingerprint;
 mod gate;
+mod gate_response;
 mod gc;
 mod ingress;
 mod join;
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -9,7 +9,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::gate::{SentTo, rate_text};
+use super::gate::SentTo;
+use super::gate_response::rate_text;
 use super::{Node, lock};
 use crate::coordination::announce::{TargetReport, UpdateOutcome};
 use crate::coordination::health::{TARGET_PROBE_INTERVAL, TargetProbe};
--- a/src/transport/era.rs
+++ b/src/transport/era.rs
@@ -49,8 +49,10 @@
     /// ```
     pub fn observe(&self, era: Era) {
         let before = self.0.fetch_max(era.0, Ordering::AcqRel);
-        if era.0 > before {
-            log::warn!("platform era={era} before={before}");
+        match before {
+            0 if era.0 > 0 => log::info!("platform era={era} before=0"),
+            _ if era.0 > before => log::warn!("platform era={era} before={before}"),
+            _ => {}
         }
     }
 }
