--- a/tests/test_outage.rs
+++ b/tests/test_outage.rs
@@ -151,7 +151,8 @@
     });
     let response = http_request(paused.callers, "GET", "guild.example", "/shelf", &[], "")
         .expect("the node responds");
-    assert_eq!(response.status, 200);
+    let outcome = response.header("tarragon-outcome");
+    assert_eq!(response.status, 200, "{outcome:?}");
 }
 
 #[test]
