Wait for news of an end instead of marking a retry

Change: such a retry waits 25 ms, in which the gates learn whether a target has ended, and only a request that stands in an end takes a turn; the header that marked retries is gone.

--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 
-use super::outcome::{NotRun, Outcome};
+use super::outcome::{NotRun, Outcome, UnknownReason};
 use crate::state::id::Path;
 use crate::state::object::Idempotency;
 
@@ -30,6 +30,9 @@
 const RETRY_AFTER_START_MAX: Duration = Duration::from_secs(1);
 /// Base of the exponential backoff between attempts.
 const BACKOFF_BASE: Duration = Duration::from_millis(5);
+/// Shortest wait after the connection to a target broke: the time until the gates know whether the
+/// target has ended while it ran the request.
+const END_NEWS_WAIT: Duration = Duration::from_millis(25);
 /// Maximum backoff between attempts.
 const BACKOFF_MAX: Duration = Duration::from_millis(250);
 
@@ -214,7 +217,11 @@
         return Duration::ZERO;
     }
     let ceiling = BACKOFF_BASE * 2u32.saturating_pow(u32::from(made.min(8)));
-    ceiling.min(BACKOFF_MAX).mul_f64(rng.f64())
+    let wait = ceiling.min(BACKOFF_MAX).mul_f64(rng.f64());
+    match outcome {
+        Outcome::Unknown(UnknownReason::TargetBroken) => wait.max(END_NEWS_WAIT),
+        _ => wait,
+    }
 }
 
 /// Time after which a caller whose request did not run should retry: after `backlog`, when it may
--- a/src/node/crash.rs
+++ b/src/node/crash.rs
@@ -119,18 +119,16 @@
 
     /// Waits until a request may run at the local target. Of the requests under which a target has
     /// ended, only one runs at a time, so that the next end shows which one is the cause.
-    /// `is_marked` says that the ingress saw the connection to a target break in an earlier attempt.
     pub(super) async fn take_turn(
         &self,
         fingerprints: &Fingerprints,
-        is_marked: bool,
         deadline: Instant,
     ) -> Result<Option<SemaphorePermit<'_>>, NotRun> {
         let verdict = || lock(&self.crash_table).verdict(fingerprints);
         match verdict() {
             Verdict::Refuse(_) => return Err(NotRun::CrashesTargets),
-            Verdict::Clear if !is_marked => return Ok(None),
-            Verdict::Clear | Verdict::Suspect(_) => {}
+            Verdict::Clear => return Ok(None),
+            Verdict::Suspect(_) => {}
         }
         let half_left = deadline.saturating_duration_since(Instant::now()) / 2;
         let turn = tokio::time::timeout(half_left, self.suspect_turn.acquire());
@@ -139,7 +137,8 @@
         };
         match verdict() {
             Verdict::Refuse(_) => Err(NotRun::CrashesTargets),
-            Verdict::Clear | Verdict::Suspect(_) => Ok(Some(turn)),
+            Verdict::Clear => Ok(None),
+            Verdict::Suspect(_) => Ok(Some(turn)),
         }
     }
 
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -28,9 +28,7 @@
 use crate::protocol::dialect::{
     Dialect, ResponseKind, TargetHop, keep_alive_timeout, remove_attempts_left,
 };
-use crate::protocol::headers::{
-    AttemptContext, INCARNATION_HEADER, SERVICE_HEADER, SUSPECT_HEADER,
-};
+use crate::protocol::headers::{AttemptContext, INCARNATION_HEADER, SERVICE_HEADER};
 use crate::state::id::{AttemptId, Fingerprints, Incarnation};
 use crate::state::member::TargetStart;
 use crate::transport::client::SendError;
@@ -134,8 +132,7 @@
         let deadline = Instant::now() + context.time_left;
         let fingerprints = take_fingerprints(request.headers_mut());
         let request_id = self.platform.dialect().request_id(request.headers());
-        let is_marked = request.headers().contains_key(SUSPECT_HEADER);
-        let _turn = match self.take_turn(&fingerprints, is_marked, deadline).await {
+        let _turn = match self.take_turn(&fingerprints, deadline).await {
             Ok(turn) => turn,
             Err(reason) => return self.refuse(reason, &context, request_id),
         };
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -26,7 +26,7 @@
 };
 use crate::coordination::traffic_split;
 use crate::protocol::dialect::{Dialect, header_number};
-use crate::protocol::headers::{ATTEMPTS_LEFT_HEADER, SUSPECT_HEADER};
+use crate::protocol::headers::ATTEMPTS_LEFT_HEADER;
 use crate::state::id::{AttemptId, Fingerprints, Path};
 use crate::state::object::Limits;
 use crate::state::routing::{RouteEntry, RoutingTable};
@@ -268,10 +268,7 @@
             if matches!(outcome, Outcome::Unknown(_)) {
                 unknown_outcome = Some(outcome);
             }
-            if outcome == Outcome::Unknown(UnknownReason::TargetBroken) {
-                let mark = HeaderValue::from_static("1");
-                call.headers.insert(SUSPECT_HEADER, mark);
-            }
+
             let context = RetryContext {
                 idempotent,
                 replayable: call.body.is_replayable(),
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -27,9 +27,7 @@
 pub const SERVICE_HEADER: &str = "tarragon-service";
 /// Fingerprints of the request, in hexadecimal, separated by commas. An ingress sets it for the gate.
 pub const FINGERPRINTS_HEADER: &str = "tarragon-fingerprints";
-/// Present if the connection to the target of an earlier attempt broke, so that the target may have
-/// ended.
-pub const SUSPECT_HEADER: &str = "tarragon-suspect";
+
 /// Number of attempts that the request may still use. A node makes no more attempts than the header
 /// of an incoming request allows, so that attempts do not multiply along a chain of calls.
 pub const ATTEMPTS_LEFT_HEADER: &str = "tarragon-attempts-left";
@@ -49,7 +47,7 @@
 
 /// Headers that only nodes may set. Nodes remove them from requests of callers and from responses
 /// of targets.
-pub const INTERNAL_HEADERS: [&str; 8] = [
+pub const INTERNAL_HEADERS: [&str; 7] = [
     ATTEMPT_CONTEXT_HEADER,
     ATTEMPT_ID_HEADER,
     LOAD_HEADER,
@@ -57,7 +55,6 @@
     INCARNATION_HEADER,
     SERVICE_HEADER,
     FINGERPRINTS_HEADER,
-    SUSPECT_HEADER,
 ];
 
 /// Data about an attempt that an ingress sends to the gate in [`ATTEMPT_CONTEXT_HEADER`].
