--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -34,7 +34,7 @@
 /// Mean delay after a failed read or watch of the document.
 const DOCUMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time that a starting node with a document waits for its peers to tell their versions.
-const PEER_VERSIONS_WAIT: Duration = Duration::from_millis(100);
+const PEER_VERSIONS_WAIT: Duration = Duration::from_millis(300);
 /// Mean delay after a failed watch on the head.
 const WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
 
