Name the ends that decided a refusal at the gate too

The gate's line of a refused request said crashes-targets with its load, but not which ends of targets had decided it; only the ingress's line did. Logging only.

--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -134,11 +134,17 @@
         let request_id = self.platform.dialect().request_id(request.headers());
         let _turn = match self.take_turn(&fingerprints, deadline).await {
             Ok(turn) => turn,
-            Err(reason) => return self.refuse(reason, &context, request_id),
+            Err(reason) => {
+                if reason == NotRun::CrashesTargets {
+                    self.log_crash_refusal(request_id, &fingerprints);
+                }
+                return self.refuse(reason, &context, request_id);
+            }
         };
         let guard = match self.admit_attempt(context, deadline).await {
             Ok(guard) if self.is_refused(&fingerprints) => {
                 drop(guard);
+                self.log_crash_refusal(request_id, &fingerprints);
                 return self.refuse(NotRun::CrashesTargets, &context, request_id);
             }
             Ok(guard) => guard,
