--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases, and what their requesters have in common.
 
-pub mod caller;
 pub mod forgotten;
 pub mod grace;
+pub mod holders;
 pub mod prefix;
 pub mod tail;
 
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -261,6 +261,7 @@
 
 /// The machines of a deployment.
 pub struct Fleet {
+    pub store: Store,
     pub machines: Vec<Machine>,
     dir: PathBuf,
 }
@@ -268,6 +269,17 @@
 impl Fleet {
     /// Starts a machine for each of the services given, all in one zone, with a configuration.
     pub fn start(record: &Record, services: &[&str], bounds: Bounds, config: &str) -> Fleet {
+        Fleet::start_in(record, &["matamata"], services, bounds, config)
+    }
+
+    /// Like [`Fleet::start`], with the machines in the given zones by turns.
+    pub fn start_in(
+        record: &Record,
+        zones: &[&str],
+        services: &[&str],
+        bounds: Bounds,
+        config: &str,
+    ) -> Fleet {
         let network = free_network(services.len());
         let store = Store::start(&format!("{network}.250.1"));
         let dir = std::env::temp_dir().join(format!("tarragon-review-{}", std::process::id()));
@@ -275,9 +287,9 @@
         store.write("op/config", config);
         record.line(&format!("operator: writes {config}"));
         let machine = |(n, service): (usize, &&str)| Machine {
-            name: format!("sidecar-matamata-{}", n + 1),
+            name: format!("sidecar-{}-{}", zones[n % zones.len()], n / zones.len() + 1),
             service: service.to_string(),
-            zone: "matamata".to_string(),
+            zone: zones[n % zones.len()].to_string(),
             ip: format!("{network}.{}.1", n + 1),
             bounds,
             platform: store.address,
@@ -287,7 +299,11 @@
         };
         let mut machines: Vec<Machine> = services.iter().enumerate().map(machine).collect();
         machines.iter_mut().for_each(Machine::start);
-        Fleet { machines, dir }
+        Fleet {
+            store,
+            machines,
+            dir,
+        }
     }
 
     /// Waits until all nodes are ready and have had time to find each other.
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -143,9 +143,29 @@
     }
 }
 
+/// The digits of base64.
+const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+/// Decodes a text from standard base64.
+pub fn from_base64(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let (mut bits, mut count) = (0_u32, 0);
+    for digit in text
+        .bytes()
+        .filter_map(|b| DIGITS.iter().position(|d| *d == b))
+    {
+        bits = bits << 6 | digit as u32;
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            bytes.push((bits >> count) as u8);
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Encodes bytes in standard base64 with padding.
 pub fn base64(bytes: &[u8]) -> String {
-    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
         let byte = |i: usize| u32::from(*chunk.get(i).unwrap_or(&0));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -34,9 +34,9 @@
     let run = match case.as_str() {
         "prefix" => cases::prefix::run,
         "grace" => cases::grace::run,
+        "holders" => cases::holders::run,
         "tail" => cases::tail::run,
         "forgotten" => cases::forgotten::run,
-        "caller" => cases::caller::run,
         other => could_not_run(&format!("no case {other}")),
     };
     let Ok(broken) = catch_unwind(AssertUnwindSafe(|| run(&record, trouble))) else {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Message, serve};
-use crate::json::{Json, base64};
+use crate::json::{Json, base64, from_base64};
 
 #[derive(Clone)]
 struct Item {
@@ -138,6 +138,13 @@
         self.shared.1.notify_all();
     }
 
+    /// Returns the values of the items with a prefix, decoded.
+    pub fn values(&self, prefix: &str) -> Vec<String> {
+        let state = self.shared.0.lock().unwrap();
+        let items = state.items.iter().filter(|(k, _)| k.starts_with(prefix));
+        items.map(|(_, item)| from_base64(&item.value)).collect()
+    }
+
     fn handle(&self, request: &Message, connection: &mut Connection) -> bool {
         thread::sleep(Duration::from_millis(4));
         let (status, body) = match (request.method(), request.path()) {
