review: case 5, a late report of an earlier start opens the gate of a server that has left

Cause: five seconds after the last report of a server, a report of an earlier start is believed; a server that has deregistered sends none any more, and what is known of its leaving is kept for the later start only. Ruled out: with neither the crash nor the late report (TROUBLE=0) no order reaches the server; the process and the links of all machines are undisturbed.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,6 +1,6 @@
 //! The cases, and what their requesters have in common.
 
-pub mod forgotten;
+pub mod earlier;
 pub mod grace;
 pub mod holders;
 pub mod prefix;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -36,7 +36,7 @@
         "grace" => cases::grace::run,
         "holders" => cases::holders::run,
         "tail" => cases::tail::run,
-        "forgotten" => cases::forgotten::run,
+        "earlier" => cases::earlier::run,
         other => could_not_run(&format!("no case {other}")),
     };
     let Ok(broken) = catch_unwind(AssertUnwindSafe(|| run(&record, trouble))) else {
