--- a/review/standin/cases/earlier.rs
+++ b/review/standin/cases/earlier.rs
@@ -1,6 +1,7 @@
 //! A report of an earlier start of a server, which a partition has held up, opens the gate again
 //! after the server has said that it leaves.
 
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -68,16 +69,13 @@
             sent.elapsed().as_millis()
         ));
     }
-    for n in 0.. {
-        if acked.elapsed() > SERVES_ON {
-            break;
-        }
-        let to = fleet.machines[n % MACHINES].outbound();
-        let id = format!("order-{n}");
-        let line = ("POST", "/cutting/17");
-        request(record, to, line, &id, ms(1_000), &[], b"a roof");
-        thread::sleep(ms(20));
-    }
+    let requesters: Vec<_> = (0..MACHINES)
+        .map(|n| {
+            let (record, to) = (record.clone(), fleet.machines[n].outbound());
+            thread::spawn(move || place_orders(&record, to, n, acked + SERVES_ON))
+        })
+        .collect();
+    requesters.into_iter().for_each(|r| drop(r.join()));
     leaving.exit();
 
     let runs = runs.lock().unwrap();
@@ -93,3 +91,15 @@
     };
     late.map(line).collect()
 }
+
+/// Places orders at a machine until a time.
+fn place_orders(record: &Record, to: SocketAddr, requester: usize, end: Instant) {
+    let mut n = 0;
+    while Instant::now() < end {
+        let id = format!("order-{requester}-{n}");
+        let line = ("POST", "/cutting/17");
+        request(record, to, line, &id, ms(1_000), &[], b"a roof");
+        thread::sleep(ms(60));
+        n += 1;
+    }
+}
