Compare route prefixes literally, so that an order keeps its own route

Prefixes that differ only in their slashes were one key.

Change: prefixes are compared literally, the longest first. A prefix of our own settings without a final slash still matches whole segments. The lookup begins at the length of the host's longest prefix.

--- a/src/state/object.rs
+++ b/src/state/object.rs
@@ -118,7 +118,8 @@
 pub struct Route {
     /// Host of the request, in lower case; `None` matches any host.
     pub host: Option<String>,
-    /// Prefix of the request's path. Only whole segments match.
+    /// Prefix of the request's path, compared literally. One without a final slash matches whole
+    /// segments: the path that equals it and the paths below it.
     pub prefix: String,
     /// Methods, in upper case; an empty list matches any method.
     pub methods: SmallVec<[String; 4]>,
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -5,6 +5,7 @@
 //! routes refer to.
 
 use std::collections::HashMap;
+use std::iter;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -124,9 +125,14 @@
     }
 }
 
-/// The routes for one host, or for any host, by prefix. Routes with the same prefix differ in their
-/// methods.
-type HostRoutes = HashMap<String, SmallVec<[Arc<RouteEntry>; 2]>>;
+/// The routes for one host, or for any host.
+#[derive(Debug, Default)]
+struct HostRoutes {
+    /// Routes with the same prefix differ in their methods.
+    by_prefix: HashMap<String, SmallVec<[Arc<RouteEntry>; 2]>>,
+    /// Length of the longest prefix, in bytes.
+    longest_prefix: usize,
+}
 
 /// The routes of one configuration version, indexed by host and prefix, with the target settings
 /// and limits of that version.
@@ -230,8 +236,8 @@
         };
         let host_routes = self.index.by_host.get(host);
         host_routes
-            .and_then(|routes| longest_prefix_match(routes, path, method))
-            .or_else(|| longest_prefix_match(&self.index.any_host, path, method))
+            .and_then(|routes| routes.find(path, method))
+            .or_else(|| self.index.any_host.find(path, method))
     }
 
     /// Returns the service at a path, with its candidates.
@@ -246,7 +252,7 @@
 
     pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteEntry>> {
         let host_routes = self.index.by_host.values().chain([&self.index.any_host]);
-        host_routes.flat_map(|h| h.values().flatten())
+        host_routes.flat_map(|h| h.by_prefix.values().flatten())
     }
 
     /// Limits on requests and connections of callers.
@@ -311,24 +317,35 @@
             Some(h) => self.by_host.entry(h.clone()).or_default(),
             None => &mut self.any_host,
         };
-        let prefix = route.prefix.trim_end_matches('/').to_string();
-        routes.entry(prefix).or_default().push(entry);
+        routes.add(entry);
     }
 }
 
-fn longest_prefix_match<'a>(
-    routes: &'a HostRoutes,
-    path: &str,
-    method: &str,
-) -> Option<&'a Arc<RouteEntry>> {
-    let mut prefix = path.trim_end_matches('/');
-    loop {
-        let found = routes.get(prefix).and_then(|r| match_method(r, method));
-        if found.is_some() || prefix.is_empty() {
-            return found;
-        }
-        prefix = &prefix[..prefix.rfind('/').unwrap_or(0)];
+impl HostRoutes {
+    fn add(&mut self, entry: Arc<RouteEntry>) {
+        let prefix = entry.route.prefix.clone();
+        self.longest_prefix = self.longest_prefix.max(prefix.len());
+        self.by_prefix.entry(prefix).or_default().push(entry);
     }
+
+    /// Finds the route with the longest prefix of `path` that takes the method.
+    fn find(&self, path: &str, method: &str) -> Option<&Arc<RouteEntry>> {
+        matching_prefixes(path, self.longest_prefix)
+            .filter_map(|prefix| self.by_prefix.get(prefix))
+            .find_map(|routes| match_method(routes, method))
+    }
+}
+
+/// Returns the prefixes of at most `max_len` bytes to which `path` belongs, the longest first: the
+/// path itself, and for each of its slashes what ends with the slash and what ends before it. A
+/// prefix that ends with a slash therefore does not match the path without that slash.
+fn matching_prefixes(path: &str, max_len: usize) -> impl Iterator<Item = &str> {
+    let slashes = path.bytes().enumerate().rev().filter(|(_, b)| *b == b'/');
+    let ends = slashes.flat_map(|(slash, _)| [slash + 1, slash]);
+    iter::once(path.len())
+        .chain(ends)
+        .filter(move |end| *end <= max_len)
+        .map(|end| &path[..end])
 }
 
 fn match_method<'a>(routes: &'a [Arc<RouteEntry>], method: &str) -> Option<&'a Arc<RouteEntry>> {
