Fit a planned stop into the grace period of the deployment

Cause: the deployed settings had fixed times for notice and drain, 2.1 s and 3.1 s, and the product did not know how long its supervisor waits. The cuts came at 5203 ms each, the sum of the two; the targets were at work.

Durations may have a fraction, as such a bound may. A stop logs its times, and a drain that ends too early the number of connections that it cuts.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -22,6 +22,7 @@
 pub mod queue;
 pub mod restarts;
 pub mod retry;
+pub mod shutdown;
 pub mod target_end;
 pub mod traffic_split;
 pub mod transfer;
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -215,6 +215,7 @@
         replay_body: 64 << 10,
         connections: 10_000,
         leave_notice: Duration::from_millis(500),
+        grace_period: None,
         link_mbit: None,
         advertised_gate: None,
         workers: None,
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Deserializer, de};
 
+use crate::coordination::shutdown::ShutdownTimes;
 use crate::state::id::Path;
 use crate::state::settings::SLOTS_MAX;
 use crate::state::units::{parse_duration, parse_size};
@@ -77,6 +78,9 @@
         deserialize_with = "deserialize_duration"
     )]
     pub leave_notice: Duration,
+    /// Time from SIGTERM until the supervisor kills the process. The shutdown is fitted into it.
+    #[serde(default, deserialize_with = "deserialize_optional_duration")]
+    pub grace_period: Option<Duration>,
     /// Rate of the instance's network link, in megabits per second.
     pub link_mbit: Option<f64>,
     /// Number of worker threads; one selects the single-threaded runtime.
@@ -196,6 +200,11 @@
         Ok(settings)
     }
 
+    /// Times of a graceful shutdown.
+    pub fn shutdown_times(&self) -> ShutdownTimes {
+        ShutdownTimes::new(self.leave_notice, self.drain, self.grace_period)
+    }
+
     fn check(&self, file: String) -> Result<(), ConfigError> {
         if self.fleet_key.len() < FLEET_KEY_MIN_BYTES {
             return Err(ConfigError::ShortKey { file });
@@ -246,6 +255,13 @@
     parse_duration(&text).map_err(de::Error::custom)
 }
 
+fn deserialize_optional_duration<'de, D>(d: D) -> Result<Option<Duration>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    deserialize_duration(d).map(Some)
+}
+
 fn deserialize_size<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
     let text = String::deserialize(d)?;
     parse_size(&text).map_err(de::Error::custom)
--- a/src/node/running.rs
+++ b/src/node/running.rs
@@ -11,6 +11,7 @@
 
 use super::supervise::supervise;
 use super::{Addresses, Node, api, claims, gate, ingress};
+use crate::coordination::shutdown::ShutdownTimes;
 use crate::node::config::NodeSettings;
 use crate::transport::http::{Endpoint, ServeLimits, serve};
 use crate::transport::platform::Platform;
@@ -81,7 +82,12 @@
         tokio::spawn(async move { node.release_slot().await });
         // Callers move to other nodes during the leave notice. Meanwhile the gate still admits
         // requests from other nodes to the local target; it closes shortly before the listeners do.
-        let notice = self.node.settings.leave_notice;
+        let ShutdownTimes { notice, drain } = self.node.settings.shutdown_times();
+        log::info!(
+            "stopping notice_ms={} drain_ms={}",
+            notice.as_millis(),
+            drain.as_millis()
+        );
         tokio::time::sleep(notice.saturating_sub(GATE_CLOSE_LEAD)).await;
         self.node.close_gate();
         tokio::time::sleep(notice.min(GATE_CLOSE_LEAD)).await;
@@ -127,7 +133,7 @@
         let node = &self.node;
         let limits = ServeLimits {
             max_connections: node.settings.connections,
-            drain_timeout: node.settings.drain,
+            drain_timeout: node.settings.shutdown_times().drain,
         };
         let admin_limits = ServeLimits {
             max_connections: ADMIN_CONNECTIONS_MAX,
--- a/src/state/units.rs
+++ b/src/state/units.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum UnitError {
     /// The number or the unit is missing, or the unit is not one of those allowed.
-    #[display("`{text}` needs a unit; write a whole number and one of {units}")]
+    #[display("`{text}` needs a unit; write a number and one of {units}")]
     InvalidUnit {
         /// The text that was given.
         text: String,
@@ -33,6 +33,7 @@
 /// use std::time::Duration;
 /// use tarragoncourse::state::units::parse_duration;
 /// assert_eq!(parse_duration("250ms"), Ok(Duration::from_millis(250)));
+/// assert_eq!(parse_duration("1.5s"), Ok(Duration::from_millis(1500)));
 /// assert!(parse_duration("250").is_err());
 /// ```
 pub fn parse_duration(text: &str) -> Result<Duration, UnitError> {
@@ -86,14 +87,19 @@
     units: &'static str,
     multiplier: impl Fn(&str) -> Option<u64>,
 ) -> Result<u64, UnitError> {
-    let digit_count = text.bytes().take_while(u8::is_ascii_digit).count();
-    let (digits, unit) = text.split_at(digit_count);
+    let is_numeric = |b: &u8| b.is_ascii_digit() || *b == b'.';
+    let (number, unit) = text.split_at(text.bytes().take_while(is_numeric).count());
+    let (whole, fraction) = number.split_once('.').unwrap_or((number, "0"));
     let text = text.to_string();
-    let Some(factor) = multiplier(unit).filter(|_| digit_count > 0) else {
+    let well_formed = !whole.is_empty() && !fraction.is_empty() && !fraction.contains('.');
+    let Some(factor) = multiplier(unit).filter(|_| well_formed) else {
         return Err(UnitError::InvalidUnit { text, units });
     };
-    let number: Option<u64> = digits.parse().ok();
+    // Digits only, so that parsing cannot fail.
+    let fraction: f64 = format!("0.{fraction}").parse().unwrap_or(0.0);
+    let rest = (fraction * factor as f64).round() as u64;
+    let number: Option<u64> = whole.parse().ok();
     number
-        .and_then(|n| n.checked_mul(factor))
+        .and_then(|n| n.checked_mul(factor)?.checked_add(rest))
         .ok_or(UnitError::TooLarge { text })
 }
--- a/src/transport/graceful.rs
+++ b/src/transport/graceful.rs
@@ -45,10 +45,15 @@
     }
 
     /// Begins the shutdown, and waits until all registered connections have ended.
-    pub async fn finish(self) {
+    pub async fn finish(&self) {
         self.0.send_replace(true);
         self.0.closed().await;
     }
+
+    /// Number of registered connections that have not ended.
+    pub fn open_connections(&self) -> usize {
+        self.0.receiver_count()
+    }
 }
 
 /// Serves a connection until it ends, also after the shutdown has begun. `pipeline` is the state of
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -135,9 +135,15 @@
         }
     }
     accept_backlog(listener, &endpoint, &shutdown);
-    tokio::time::timeout(limits.drain_timeout, shutdown.finish())
-        .await
-        .is_ok()
+    let drained = tokio::time::timeout(limits.drain_timeout, shutdown.finish()).await;
+    if drained.is_err() {
+        log::warn!(
+            "drain timeout; connections with requests in progress are closed connections={} timeout_ms={}",
+            shutdown.open_connections(),
+            limits.drain_timeout.as_millis()
+        );
+    }
+    drained.is_ok()
 }
 
 /// Serves the connections that the operating system has established but that were not accepted yet,
