Ask the platform when no node has confirmed the configuration

Cause: only the holders of two slots a zone watch the document in a fleet of more than 16 nodes; all others took silence for news. The log of a fleet of 20 daemons: no read of the store by any node left until 2.17 s after the write, and all sixteen had the version 8 ms after the first read, so it is neither the reading nor the spreading. Related paths with the same cause: holders that live but are cut off from the store (5.19 s; no probe suspects them), and the product's own store, where nobody but the holders ever looks (7.0 s).

Change: coordination/freshness.rs. Watchers ask the platform at short intervals and confirm to the fleet that as of that moment no version was newer; a node without a confirmation for half of apply-time asks itself, and confirms. The age travels with the confirmation, so a watcher that cannot reach the store cannot vouch for it. The setting apply-time, or the option of the daemons, takes the deployment's bound. New datagram; older nodes ignore it.

--- a/src/bin/tarragond.rs
+++ b/src/bin/tarragond.rs
@@ -9,11 +9,12 @@
 Runs one node of the mesh as the sidecar of a target instance.
 
 Usage:
-    tarragond --config FILE
+    tarragond --config FILE [--apply-time TIME]
     tarragond --help
 
 Options:
-    --config FILE   settings of the node, YAML (docs/SETTINGS.md)
+    --config FILE        settings of the node, YAML (docs/SETTINGS.md)
+    --apply-time TIME    the setting `apply-time`, in place of the one in the file
 
 Prints one line with its addresses once it listens. SIGTERM and SIGINT stop it
 gracefully, SIGHUP reloads the settings.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 pub mod commit;
 pub mod crash_table;
 pub mod distribution;
+pub mod freshness;
 pub mod gate;
 pub mod health;
 pub mod members;
--- a/src/coordination/watcher_slot.rs
+++ b/src/coordination/watcher_slot.rs
@@ -49,11 +49,16 @@
     /// it needs one to become ready. If all nodes restart at one moment, the slots stay occupied by
     /// the leases of the earlier processes, and until they expire no node of the zone may hold one.
     pub fn is_needed(&self) -> bool {
-        let few_watchers = self.members_alive <= WATCH_ALL_MAX_NODES || !self.zone_watched;
+        let few_watchers = all_nodes_watch(self.members_alive) || !self.zone_watched;
         !self.ready || self.holds_slot || (self.uptime >= JOIN_TIME && few_watchers)
     }
 }
 
+/// Whether every node of a fleet of this size watches the document itself.
+pub fn all_nodes_watch(members_alive: usize) -> bool {
+    members_alive <= WATCH_ALL_MAX_NODES
+}
+
 /// Next step for the watcher slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotStep {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,6 +11,7 @@
 use crate::logging;
 use crate::node::RunningNode;
 use crate::node::config::NodeSettings;
+use crate::state::units::parse_duration;
 use crate::transport::platform::Platform;
 
 /// Interval at which the settings file is checked for changes, because it may change without a
@@ -50,7 +51,8 @@
         return Ok(ExitCode::SUCCESS);
     }
     let file: String = args.value_from_str("--config")?;
-    let settings = read_settings(&file)?;
+    let apply_time = args.opt_value_from_fn("--apply-time", parse_duration)?;
+    let settings = read_settings(&file)?.with_apply_time(&file, apply_time)?;
     logging::init(settings.log)?;
     let runtime = match settings.workers {
         Some(1) => tokio::runtime::Builder::new_current_thread()
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -216,6 +216,7 @@
         connections: 10_000,
         leave_notice: Duration::from_millis(500),
         grace_period: None,
+        apply_time: Duration::from_secs(2),
         link_mbit: None,
         advertised_gate: None,
         workers: None,
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -20,6 +20,10 @@
 /// Default time between the start of a shutdown and closing the listeners, in which callers and
 /// other nodes stop sending requests to this node.
 const LEAVE_NOTICE_DEFAULT: Duration = Duration::from_millis(500);
+/// Default time within which an accepted version must be in force on every node.
+const APPLY_TIME_DEFAULT: Duration = Duration::from_secs(2);
+/// Shortest time within which an accepted version can be in force.
+const APPLY_TIME_MIN: Duration = Duration::from_millis(500);
 /// Default upper bound of the random delay before a joining node reads the platform.
 const JOIN_JITTER_DEFAULT: Duration = Duration::from_millis(200);
 /// Shortest fleet key, in bytes.
@@ -81,6 +85,12 @@
     /// Time from SIGTERM until the supervisor kills the process. The shutdown is fitted into it.
     #[serde(default, deserialize_with = "deserialize_optional_duration")]
     pub grace_period: Option<Duration>,
+    /// Time within which an accepted version must be in force on every node.
+    #[serde(
+        default = "default_apply_time",
+        deserialize_with = "deserialize_duration"
+    )]
+    pub apply_time: Duration,
     /// Rate of the instance's network link, in megabits per second.
     pub link_mbit: Option<f64>,
     /// Number of worker threads; one selects the single-threaded runtime.
@@ -164,6 +174,15 @@
         /// The configured number.
         slots: u32,
     },
+    /// The apply time is too short.
+    #[display(
+        "{file}: apply-time is shorter than {}ms; the platform would be asked too often",
+        APPLY_TIME_MIN.as_millis()
+    )]
+    ShortApplyTime {
+        /// File name.
+        file: String,
+    },
     /// A listen address is a wildcard, which other nodes cannot connect to.
     #[display(
         "{file}: listen.{field} is a wildcard address; use one that other nodes can connect to"
@@ -200,6 +219,20 @@
         Ok(settings)
     }
 
+    /// Replaces the apply time if one is given, such as on the command line, and checks the result.
+    ///
+    /// # Errors
+    /// [`ConfigError::ShortApplyTime`].
+    pub fn with_apply_time(
+        mut self,
+        file: &str,
+        apply_time: Option<Duration>,
+    ) -> Result<NodeSettings, ConfigError> {
+        self.apply_time = apply_time.unwrap_or(self.apply_time);
+        self.check(file.to_string())?;
+        Ok(self)
+    }
+
     /// Times of a graceful shutdown.
     pub fn shutdown_times(&self) -> ShutdownTimes {
         ShutdownTimes::new(self.leave_notice, self.drain, self.grace_period)
@@ -209,6 +242,9 @@
         if self.fleet_key.len() < FLEET_KEY_MIN_BYTES {
             return Err(ConfigError::ShortKey { file });
         }
+        if self.apply_time < APPLY_TIME_MIN {
+            return Err(ConfigError::ShortApplyTime { file });
+        }
         let slots = self.target.as_ref().map_or(1, |t| t.slots);
         if slots == 0 || slots > SLOTS_MAX {
             return Err(ConfigError::SlotsOutOfRange { file, slots });
@@ -238,6 +274,10 @@
     DRAIN_TIMEOUT_DEFAULT
 }
 
+fn default_apply_time() -> Duration {
+    APPLY_TIME_DEFAULT
+}
+
 fn default_join_jitter() -> Duration {
     JOIN_JITTER_DEFAULT
 }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -100,6 +100,7 @@
         let mut actions = Actions::new();
         lock(&self.distribution).tick(&fallbacks, now, &mut actions);
         self.execute(actions);
+        self.check_freshness(now);
         self.sync_target(now);
         self.refresh_targets();
         let mut state = lock(&self.gate);
@@ -123,6 +124,7 @@
                     let _ = waiter.send(deltas);
                 }
             }
+            Datagram::Confirm(confirmation) => self.handle_confirmation(from, confirmation, now),
             Datagram::Ends(records) => self.handle_ends(&records, now),
             Datagram::EndsDigest(digest) => self.answer_ends_digest(from, digest),
             Datagram::Member(message) => {
@@ -378,7 +380,7 @@
 
 /// Returns the peers to which a node announces a version that it learned from the platform: the
 /// relay peers, some more peers in its zone, and one peer in each other zone.
-fn origin_peers(members: &mut Members) -> Vec<SocketAddr> {
+pub(super) fn origin_peers(members: &mut Members) -> Vec<SocketAddr> {
     let mut peers = relay_peers(members);
     peers.extend(members.sample_own_zone(ANNOUNCE_ZONE_PEERS));
     peers.extend(members.sample_other_zones());
@@ -387,7 +389,7 @@
 
 /// Returns the peers to which a node relays an announcement: its ring neighbours, so that every
 /// node is reached, and a random peer.
-fn relay_peers(members: &mut Members) -> Vec<SocketAddr> {
+pub(super) fn relay_peers(members: &mut Members) -> Vec<SocketAddr> {
     let own = members.own_record();
     let mut peers = members.table().neighbours(&own.zone, &own.peer, 1);
     peers.extend(members.sample_news_peers(ANNOUNCE_RANDOM_PEERS));
--- a/src/node/dump.rs
+++ b/src/node/dump.rs
@@ -24,6 +24,7 @@
             "routing": self.dump_routing(),
             "gate": self.dump_gate(),
             "slot": self.dump_slot(),
+            "configuration_confirmed_age_seconds": lock(&self.freshness).age(Instant::now()).as_secs_f64(),
             "platform_era": self.platform.era().0,
             "retry_budget": lock(&self.retry_budgets).remaining(),
             "control_deferred": lock(&self.sender).budget.deferred(),
@@ -48,11 +49,13 @@
             let table = lock(&self.crash_table);
             (table.len(), table.refused_count())
         };
+        let confirmed_age = lock(&self.freshness).age(Instant::now());
         let rate = lock(&self.target_notices).rate();
         let state = lock(&self.gate);
         let gate_counts = state.gate.counts();
         vec![
             ("config_version", self.version().0 as f64),
+            ("config_confirmed_age_seconds", confirmed_age.as_secs_f64()),
             ("config_wanted", newest_known.0 as f64),
             ("config_adopted", config_counts.adopted as f64),
             ("config_pulls", config_counts.pulls as f64),
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -316,7 +316,7 @@
             tokio::time::sleep(interval).await;
             sleep_random_up_to(self.settings.join_jitter).await;
             let alive_before = self.members_alive();
-            if alive_before <= 1 || lock(&self.watcher_slot).held(Instant::now()).is_some() {
+            if alive_before <= 1 || self.holds_slot() {
                 self.join_slot_holders().await;
             }
             let grew = self.members_alive() > alive_before;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,7 +11,7 @@
 //! document that the nodes only read.
 //!
 //! To avoid deadlocks, mutexes are locked in the order of the fields of [`Node`]: members,
-//! distribution, watcher_slot, announced_target, target_notices, gate, target_health, link_schedule, picker,
+//! distribution, watcher_slot, freshness, announced_target, target_notices, gate, target_health, link_schedule, picker,
 //! peer_restarts, retry_budgets, sender, pending_fetches, pauses. A lock is never held across an await.
 
 mod api;
@@ -23,6 +23,7 @@
 mod crash;
 mod dump;
 mod fingerprint;
+mod freshness;
 mod gate;
 mod gate_response;
 mod gc;
@@ -53,6 +54,7 @@
 use crate::coordination::claim_memory::ClaimMemory;
 use crate::coordination::crash_table::CrashTable;
 use crate::coordination::distribution::Distribution;
+use crate::coordination::freshness::Freshness;
 use crate::coordination::gate::Gate;
 use crate::coordination::health::TargetHealth;
 use crate::coordination::members::Members;
@@ -129,6 +131,7 @@
     members: Mutex<Members>,
     distribution: Mutex<Distribution>,
     watcher_slot: Mutex<WatcherSlot>,
+    freshness: Mutex<Freshness>,
     /// State that the local target has reported; stays empty unless the target is `announced`.
     announced_target: Mutex<AnnouncedTarget>,
     /// What the local target says about itself in its answers.
@@ -209,6 +212,7 @@
             members: Mutex::new(Members::new(own, now, rng.fork())),
             distribution: Mutex::new(Distribution::new(Arc::new(Snapshot::default()), rng.fork())),
             watcher_slot: Mutex::new(WatcherSlot::new(now)),
+            freshness: Mutex::new(Freshness::new(settings.apply_time, now, rng.fork())),
             announced_target: Mutex::new(AnnouncedTarget::default()),
             target_notices: Mutex::new(TargetNotices::default()),
             gate: Mutex::new(gate::GateState::new(initial_gate)),
@@ -298,6 +302,7 @@
             return;
         };
         log::warn!("process was paused ms={}", length.as_millis());
+        lock(&self.freshness).record_pause(length);
         for _ in 0..BACKLOG_READ_TURNS {
             tokio::time::sleep(BACKLOG_READ_TURN).await;
         }
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -134,7 +134,7 @@
 
     /// Publishes in this node's member record whether it holds a watcher slot.
     fn publish_slot(&self) {
-        let holds = lock(&self.watcher_slot).held(Instant::now()).is_some();
+        let holds = self.holds_slot();
         lock(&self.members).update_own(|r| r.watcher = holds);
     }
 
@@ -154,7 +154,7 @@
         }
         let mut revision = Revision::ABSENT;
         loop {
-            if lock(&self.watcher_slot).held(Instant::now()).is_none() {
+            if !self.holds_slot() {
                 tokio::time::sleep(SLOT_CHECK_INTERVAL).await;
                 continue;
             }
@@ -183,6 +183,7 @@
                 tokio::time::sleep(SLOT_CHECK_INTERVAL).await;
                 continue;
             }
+            let asked_at = Instant::now();
             let found = match revision {
                 None => self.read_document().await,
                 Some(after) => self.platform.watch_document(after, wait).await,
@@ -190,8 +191,14 @@
             let delay = match found {
                 Ok(update) => {
                     self.record_document_success();
+                    let delay = self.handle_document_update(&update);
+                    // A watch that has waited does not tell when the platform looked last.
+                    match revision.is_none() || wait.is_zero() {
+                        true => self.record_fresh(update.revision, asked_at),
+                        false => lock(&self.freshness).record_revision(update.revision),
+                    }
                     revision = Some(update.revision);
-                    self.handle_document_update(&update)
+                    delay
                 }
                 Err(e) => {
                     // The platform did respond, but does not have the history to watch.
@@ -214,7 +221,7 @@
     }
 
     /// Reads the operator's document and the revision to watch from.
-    async fn read_document(&self) -> PlatformResult<DocumentUpdate> {
+    pub(super) async fn read_document(&self) -> PlatformResult<DocumentUpdate> {
         let found = self.platform.read_document().await?;
         Ok(DocumentUpdate {
             // Without a document, the watch reports the first one.
@@ -245,7 +252,7 @@
     }
 
     /// Returns whether this node watches the document itself.
-    fn should_watch_document(&self) -> bool {
+    pub(super) fn should_watch_document(&self) -> bool {
         let (members_alive, zone_watched) = {
             let members = lock(&self.members);
             let table = members.table();
@@ -255,13 +262,18 @@
         let watch = DocumentWatch {
             ready: self.is_ready(),
             uptime: self.started.elapsed(),
-            holds_slot: lock(&self.watcher_slot).held(Instant::now()).is_some(),
+            holds_slot: self.holds_slot(),
             members_alive,
             zone_watched,
         };
         watch.is_needed()
     }
 
+    /// Whether this node holds a watcher slot.
+    pub(super) fn holds_slot(&self) -> bool {
+        lock(&self.watcher_slot).held(Instant::now()).is_some()
+    }
+
     /// Records that a call for the document succeeded, and logs it if the previous one had failed.
     fn record_document_success(&self) {
         if self.document_failing.swap(false, Ordering::AcqRel) {
@@ -277,7 +289,7 @@
     }
 
     /// Handles a head that the watch reported.
-    async fn handle_head(self: &Arc<Self>, value: &Value) {
+    pub(super) async fn handle_head(self: &Arc<Self>, value: &Value) {
         let Ok(head) = decode_head(&value.text) else {
             return;
         };
--- a/src/protocol/datagram.rs
+++ b/src/protocol/datagram.rs
@@ -4,16 +4,19 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::key::{FleetKey, MAC_BYTES};
 use super::wire::{WireDelta, WireError, WireMemberRecord, convert_all};
 use crate::coordination::crash_table::{EndId, EndRecord};
+use crate::coordination::freshness::Confirmation;
 use crate::coordination::members::{Message, PeerSummary, RECORDS_PER_DATAGRAM};
 use crate::coordination::target_end::CONCERNED_MAX;
 use crate::state::id::{Fingerprint, Incarnation, Version};
 use crate::state::member::{MemberRecord, TABLE_BUCKETS};
+use crate::state::revision::{Era, Revision};
 use crate::state::snapshot::Delta;
 
 /// Maximum size of a datagram that is sent or accepted.
@@ -35,6 +38,8 @@
         /// The sender's current version.
         since: Version,
     },
+    /// States that the platform held no newer version than this.
+    Confirm(Confirmation),
     /// Ends of targets, and the requests that they were running.
     Ends(Vec<EndRecord>),
     /// Digest of the ends that the sender knows of; zero without any.
@@ -55,6 +60,7 @@
         match self {
             Datagram::Announce(_) | Datagram::Acknowledge(_) => "announce",
             Datagram::Fetch { .. } | Datagram::Fetched { .. } => "delta",
+            Datagram::Confirm(_) => "confirm",
             Datagram::Ends(_) | Datagram::EndsDigest(_) => "ends",
             Datagram::Member(Message::Gossip { .. }) => "member",
             Datagram::Member(Message::TableDigests { .. }) => "repair",
@@ -90,6 +96,31 @@
     Fetched(u64, Option<Vec<WireDelta>>),
     Ends(Vec<WireEndRecord>),
     EndsDigest(u64),
+    Confirm(WireConfirmation),
+}
+
+/// Wire form of [`Confirmation`]: the version, the era and number of the revision, and the age in
+/// milliseconds.
+#[derive(Serialize, Deserialize)]
+struct WireConfirmation(u64, Option<(u64, u64)>, u32);
+
+impl From<&Confirmation> for WireConfirmation {
+    fn from(c: &Confirmation) -> WireConfirmation {
+        let revision = c.revision.map(|r| (r.era.0, r.number));
+        let age_ms = u32::try_from(c.age.as_millis()).unwrap_or(u32::MAX);
+        WireConfirmation(c.version.0, revision, age_ms)
+    }
+}
+
+impl From<WireConfirmation> for Confirmation {
+    fn from(wire: WireConfirmation) -> Confirmation {
+        let WireConfirmation(version, revision, age_ms) = wire;
+        Confirmation {
+            version: Version(version),
+            revision: revision.map(|(era, number)| Revision::new(Era(era), number)),
+            age: Duration::from_millis(age_ms.into()),
+        }
+    }
 }
 
 /// Wire form of [`EndRecord`]: the end, the fingerprints in little-endian bytes, and the bit set.
@@ -132,6 +163,7 @@
             }
             Datagram::Ends(records) => Body::Ends(records.iter().map(Into::into).collect()),
             Datagram::EndsDigest(digest) => Body::EndsDigest(*digest),
+            Datagram::Confirm(confirmation) => Body::Confirm(confirmation.into()),
             Datagram::Member(m) => m.into(),
         }
     }
@@ -182,6 +214,7 @@
             Body::Acknowledge(v) => Datagram::Acknowledge(Version(v)),
             Body::Ends(records) => Datagram::Ends(convert_all(records)?),
             Body::EndsDigest(digest) => Datagram::EndsDigest(digest),
+            Body::Confirm(wire) => Datagram::Confirm(wire.into()),
             Body::Fetch(fetch_id, since) => Datagram::Fetch {
                 fetch_id,
                 since: Version(since),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -87,6 +87,8 @@
     pub dir: PathBuf,
     /// Address of the platform, once it has been started.
     pub platform: Option<SocketAddr>,
+    /// Secret of the nodes that are started next. Nodes with different ones ignore each other.
+    pub fleet_key: &'static str,
 }
 
 impl Workdir {
@@ -99,6 +101,7 @@
         Workdir {
             dir,
             platform: None,
+            fleet_key: "test-fleet-key-0123456789",
         }
     }
 
@@ -157,7 +160,8 @@
         let mut settings = format!(
             "instance: {instance}\nzone: {zone}\nlisten: {{ peers: \"{any_port}\", gate: \"{any_port}\", \
              callers: \"{any_port}\", admin: \"{any_port}\" }}\nplatform: \"{platform}\"\n\
-             fleet-key: test-fleet-key-0123456789\nadmin-token-hash: \"{ADMIN_TOKEN_HASH}\"\n{extra_settings}"
+             fleet-key: {}\nadmin-token-hash: \"{ADMIN_TOKEN_HASH}\"\n{extra_settings}",
+            self.fleet_key
         );
         if let Some((service, address)) = target {
             settings +=
--- /dev/null
+++ b/tests/test_freshness.rs
@@ -0,0 +1,170 @@
+//! When nodes ask the platform for a newer version, and which confirmations they pass on.
+
+use std::time::Duration;
+
+use tarragoncourse::coordination::freshness::{Confirmation, Freshness, FreshnessStep, Role};
+use tarragoncourse::state::id::Version;
+use tarragoncourse::state::revision::{Era, Revision};
+use tokio::time::Instant;
+
+const APPLY_TIME: Duration = Duration::from_secs(2);
+const TICK: Duration = Duration::from_millis(50);
+/// Time that a confirmation takes to another node, and a call to the platform.
+const DELAY: Duration = Duration::from_millis(10);
+
+fn node(seed: u64, now: Instant) -> Freshness {
+    Freshness::new(APPLY_TIME, now, fastrand::Rng::with_seed(seed))
+}
+
+fn confirmation(age: Duration) -> Confirmation {
+    Confirmation {
+        version: Version(4),
+        revision: Some(Revision::new(Era(1), 7)),
+        age,
+    }
+}
+
+/// A fleet in which every confirmation reaches every node, and the number of calls so far.
+struct Model {
+    nodes: Vec<(Role, Freshness)>,
+    now: Instant,
+    platform_answers: bool,
+    calls: usize,
+}
+
+impl Model {
+    fn new(watchers: usize, followers: usize) -> Model {
+        let now = Instant::now();
+        let roles = [(Role::Watcher, watchers), (Role::Follower, followers)];
+        let roles = roles.into_iter().flat_map(|(role, n)| vec![role; n]);
+        let nodes = roles.enumerate().map(|(n, r)| (r, node(n as u64, now)));
+        Model {
+            nodes: nodes.collect(),
+            now,
+            platform_answers: true,
+            calls: 0,
+        }
+    }
+
+    /// Runs the fleet for a time. Returns the longest age of a node's configuration.
+    fn run(&mut self, duration: Duration) -> Duration {
+        let end = self.now + duration;
+        let mut oldest = Duration::ZERO;
+        while self.now < end {
+            self.now += TICK;
+            for n in 0..self.nodes.len() {
+                self.step(n);
+            }
+            let ages = self.nodes.iter().map(|(_, f)| f.age(self.now));
+            oldest = oldest.max(ages.max().unwrap_or_default());
+        }
+        oldest
+    }
+
+    fn step(&mut self, n: usize) {
+        let (role, now) = (self.nodes[n].0, self.now);
+        if self.nodes[n].1.next_step(role, now) == FreshnessStep::Wait {
+            return;
+        }
+        self.calls += 1;
+        if !self.platform_answers {
+            return self.nodes[n].1.record_failure(false, role, now);
+        }
+        let Some(news) = self.nodes[n].1.record_answer(Version(4), None, now, now) else {
+            return;
+        };
+        for (_, other) in &mut self.nodes {
+            let age = news.age + DELAY;
+            other.handle_confirmation(Confirmation { age, ..news }, now);
+        }
+    }
+}
+
+/// Guards against a fleet that hears nothing of the platform once its watchers are lost.
+#[test]
+fn followers_ask_within_the_apply_time_once_the_watchers_are_silent() {
+    let mut fleet = Model::new(4, 40);
+    let oldest = fleet.run(Duration::from_secs(10));
+    assert!(oldest < APPLY_TIME / 2, "{oldest:?}");
+    fleet.nodes.retain(|(role, _)| *role == Role::Follower);
+    let oldest = fleet.run(Duration::from_secs(10));
+    assert!(oldest < APPLY_TIME * 3 / 4, "{oldest:?}");
+}
+
+/// The number of calls depends on the apply time, and not on the size of the fleet.
+#[test]
+fn the_number_of_calls_does_not_grow_with_the_fleet() {
+    const SECONDS: usize = 20;
+    // One call in each watcher's interval, which is up to a fifth shorter than a quarter of the apply
+    // time, and some that start in the same tick.
+    let calls_max = 2 * SECONDS * 1000 / 400;
+    for (watchers, followers) in [(2, 15), (8, 60), (10, 300), (0, 300)] {
+        let mut fleet = Model::new(watchers, followers);
+        fleet.run(Duration::from_secs(SECONDS as u64));
+        assert!(
+            fleet.calls <= calls_max,
+            "{watchers} + {followers}: {} calls",
+            fleet.calls
+        );
+    }
+}
+
+/// While the platform does not answer anybody, each node asks less and less often, and all hear of its
+/// return within the longest interval of the watchers.
+#[test]
+fn unanswered_calls_become_rare_and_a_return_is_noticed() {
+    let mut fleet = Model::new(4, 60);
+    fleet.run(Duration::from_secs(5));
+    let before = fleet.calls;
+    fleet.platform_answers = false;
+    fleet.run(Duration::from_secs(30));
+    let calls = fleet.calls - before;
+    assert!(calls <= 64 * 9, "{calls} calls");
+    fleet.platform_answers = true;
+    fleet.run(Duration::from_secs(4));
+    let oldest = fleet.run(Duration::from_secs(5));
+    assert!(oldest < APPLY_TIME / 2, "{oldest:?}");
+}
+
+#[test]
+fn a_confirmation_is_passed_on_once_and_never_back_in_time() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let mut node = node(1, now - Duration::from_secs(3));
+    let fresh = confirmation(Duration::from_millis(30));
+    assert_eq!(node.handle_confirmation(fresh, now), Some(fresh));
+    assert_eq!(node.handle_confirmation(fresh, now), None);
+    // One of another node that asked at about the same time.
+    let other = confirmation(Duration::from_millis(10));
+    assert_eq!(node.handle_confirmation(other, now), None);
+    for age in [Duration::from_secs(2), Duration::MAX] {
+        assert_eq!(node.handle_confirmation(confirmation(age), now), None);
+    }
+    assert_eq!(node.age(now), Duration::from_millis(30));
+    // The next call asks for changes since then.
+    let revision = fresh.revision;
+    assert!(revision.is_some());
+    let later = now + APPLY_TIME;
+    assert_eq!(
+        node.next_step(Role::Follower, later),
+        FreshnessStep::Ask(revision)
+    );
+    // One call at a time.
+    assert_eq!(node.next_step(Role::Follower, later), FreshnessStep::Wait);
+    // Without the history since then, it asks for the current version.
+    node.record_failure(true, Role::Follower, later);
+    assert_eq!(
+        node.next_step(Role::Follower, later),
+        FreshnessStep::Ask(None)
+    );
+}
+
+/// Guards against a resumed node that takes what it heard before its pause for recent.
+#[test]
+fn a_resumed_node_asks_at_once() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let mut node = node(1, now);
+    assert_eq!(node.next_step(Role::Follower, now), FreshnessStep::Wait);
+    // The clock of the timers stood still meanwhile.
+    node.record_pause(Duration::from_secs(5));
+    assert_ne!(node.next_step(Role::Follower, now), FreshnessStep::Wait);
+}
--- a/tests/test_protocol.rs
+++ b/tests/test_protocol.rs
@@ -12,6 +12,7 @@
 
 use arbtest::arbitrary::Unstructured;
 use fuzz::{chance, number_below};
+use tarragoncourse::coordination::freshness::Confirmation;
 use tarragoncourse::coordination::members::{Message, PeerSummary};
 use tarragoncourse::coordination::queue::WorkKind;
 use tarragoncourse::protocol::datagram::{
@@ -27,6 +28,7 @@
 use tarragoncourse::state::object::{
     Class, Idempotency, Limits, Object, Route, Service, TargetSettings, Team, WeightedService,
 };
+use tarragoncourse::state::revision::{Era, Revision};
 use tarragoncourse::state::settings::{parse_file, to_yaml};
 use tarragoncourse::state::snapshot::{Entry, Snapshot};
 
@@ -71,6 +73,11 @@
     let records: Vec<MemberRecord> = (0..10).map(member_record).collect();
     let datagrams = [
         Datagram::Announce(Version(9)),
+        Datagram::Confirm(Confirmation {
+            version: Version(9),
+            revision: Some(Revision::new(Era(2), u64::MAX)),
+            age: Duration::from_millis(40),
+        }),
         Datagram::Fetch {
             fetch_id: 3,
             since: Version(8),
