Skip odd entries of lists and documents one by one

By reading, then tested: one record of a peer that is out of bounds hid its whole list; an index that names 1e18 pieces made the process allocate for them.

Records with ports or addresses that cannot be connected to are skipped. A claim table with an odd line stays unreadable: it would let a key run twice.

--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -88,6 +88,11 @@
         let own = (0..SLOTS_PER_ZONE).find_map(|n| Some((n, find(n).filter(is_own)?.revision)));
         match (own, find(number)) {
             (Some((own_number, revision)), _) => self.acquire_slot(own_number, revision).await,
+            // Another writer has left a value that names no node.
+            (None, Some(value)) if decode_slot(&value.text).is_none() => {
+                log::warn!("watcher slot names no node, taking it slot={number}");
+                self.acquire_slot(number, value.revision).await
+            }
             (None, Some(_)) => self.join_holders(&slots).await,
             (None, None) => self.acquire_slot(number, Revision::ABSENT).await,
         }
--- a/src/protocol/datagram.rs
+++ b/src/protocol/datagram.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::key::{FleetKey, MAC_BYTES};
-use super::wire::{WireDelta, WireError, WireMemberRecord, convert_all};
+use super::wire::{WireDelta, WireError, WireMemberRecord, convert_all, convert_valid};
 use crate::coordination::crash_table::{EndId, EndRecord};
 use crate::coordination::freshness::Confirmation;
 use crate::coordination::members::{Message, PeerSummary, RECORDS_PER_DATAGRAM};
@@ -212,7 +212,7 @@
         Ok(match body {
             Body::Announce(v) => Datagram::Announce(Version(v)),
             Body::Acknowledge(v) => Datagram::Acknowledge(Version(v)),
-            Body::Ends(records) => Datagram::Ends(convert_all(records)?),
+            Body::Ends(records) => Datagram::Ends(convert_valid(records)),
             Body::EndsDigest(digest) => Datagram::EndsDigest(digest),
             Body::Confirm(wire) => Datagram::Confirm(wire.into()),
             Body::Fetch(fetch_id, since) => Datagram::Fetch {
@@ -261,7 +261,7 @@
     if records.len() > RECORDS_PER_DATAGRAM + 1 {
         return Err(WireError::OutOfBounds("records"));
     }
-    convert_all(records)
+    Ok(convert_valid(records))
 }
 
 fn decode_bucket_digests(digests: Vec<u64>) -> Result<Box<[u64; TABLE_BUCKETS]>, WireError> {
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod datagram;
 pub mod dialect;
+pub mod entries;
 pub mod frame;
 pub mod headers;
 pub mod key;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -6,7 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::wire::{WireDelta, WireError, WireMemberRecord, WireSnapshot, convert_all};
+use super::wire::{
+    WireDelta, WireError, WireMemberRecord, WireSnapshot, convert_all, convert_valid,
+    is_peer_address,
+};
 use crate::coordination::claims::{ClaimOutcome, KeyHash, KeyOperation, KeyState};
 use crate::coordination::distribution::PullReply;
 use crate::coordination::gate::VoidOutcome;
@@ -235,11 +238,14 @@
             WireReply::Snapshot(wire) => {
                 PeerReply::Pull(PullReply::Snapshot(Arc::new(wire.try_into()?)))
             }
-            WireReply::Busy(others) => PeerReply::Pull(PullReply::Busy(others)),
+            WireReply::Busy(mut others) => {
+                others.retain(is_peer_address);
+                PeerReply::Pull(PullReply::Busy(others))
+            }
             WireReply::UpToDate => PeerReply::Pull(PullReply::UpToDate),
             WireReply::Failed => PeerReply::Pull(PullReply::Failed),
             WireReply::Table(wire_records, version) => {
-                PeerReply::Table(convert_all(wire_records)?, Version(version))
+                PeerReply::Table(convert_valid(wire_records), Version(version))
             }
             WireReply::Versions(current, newest) => {
                 PeerReply::Versions(Version(current), Version(newest))
--- a/src/protocol/record.rs
+++ b/src/protocol/record.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::wire::{WireEdit, WireEntry, WireError, convert_all};
+use super::wire::{WireEdit, WireEntry, WireError, convert_all, is_peer_address};
 use crate::coordination::claims::{ClaimTable, KeyEntry, KeyHash, KeyState};
 use crate::coordination::commit::{ChangeRecord, Head};
 use crate::state::digest::Digest;
@@ -24,6 +24,8 @@
 /// Maximum size of a piece of a snapshot, separators aside; a larger entry is a piece by itself. It
 /// is well below the platform's limit of one megabyte for a value.
 pub const PIECE_MAX_BYTES: usize = 512 << 10;
+/// Largest number of pieces of a snapshot that is read.
+const PIECES_MAX: usize = 4096;
 
 /// Key of the record of a change.
 ///
@@ -173,6 +175,9 @@
 /// [`WireError`] when the value is not a valid index.
 pub fn decode_index(text: &str) -> Result<SnapshotIndex, WireError> {
     let doc: IndexDocument = from_json(text)?;
+    if doc.pieces > PIECES_MAX {
+        return Err(WireError::OutOfBounds("pieces"));
+    }
     Ok(SnapshotIndex {
         version: Version(doc.version),
         change: parse_change_id(&doc.change)?,
@@ -227,9 +232,16 @@
     peer.to_string()
 }
 
-/// Decodes the peer address of the node that holds a watcher slot.
+/// Decodes the peer address of the node that holds a watcher slot; `None` if the value, which another
+/// writer may have left, is no address that can be connected to.
+///
+/// ```
+/// use tarragoncourse::protocol::record::decode_slot;
+/// assert!(decode_slot("10.0.0.1:7600").is_some());
+/// assert!(decode_slot("10.0.0.1:0").is_none());
+/// ```
 pub fn decode_slot(text: &str) -> Option<SocketAddr> {
-    text.parse().ok()
+    text.parse().ok().filter(is_peer_address)
 }
 
 /// Encodes a claim table, with one line for each key. The last field of a line is the HTTP status
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -1,6 +1,6 @@
 //! Wire forms of configuration objects, deltas, snapshots and member records.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,10 +9,11 @@
 
 use crate::state::digest::Digest;
 use crate::state::id::{ChangeId, Incarnation, Path, PathError, Version};
-use crate::state::member::{Health, MemberRecord, TargetRecord};
+use crate::state::member::{Health, INSTANCE_MAX_BYTES, MemberRecord, TargetRecord};
 use crate::state::object::{
     Class, Idempotency, Limits, Object, Route, Service, TargetSettings, Team, WeightedService,
 };
+use crate::state::settings::SLOTS_MAX;
 use crate::state::snapshot::{Delta, Edit, Entry, Snapshot};
 
 /// Why a message or a stored value was rejected.
@@ -417,6 +418,9 @@
         if wire.sequence > RECORD_SEQUENCE_MAX {
             return Err(WireError::OutOfBounds("sequence"));
         }
+        if !is_peer_address(&wire.peer) || wire.gate_port == 0 {
+            return Err(WireError::OutOfBounds("address"));
+        }
         Ok(MemberRecord {
             peer: wire.peer,
             gate_port: wire.gate_port,
@@ -458,16 +462,47 @@
     type Error = WireError;
 
     fn try_from(wire: WireTargetRecord) -> Result<TargetRecord, WireError> {
+        if wire.instance.len() > INSTANCE_MAX_BYTES {
+            return Err(WireError::OutOfBounds("instance"));
+        }
         Ok(TargetRecord {
             instance: wire.instance.into(),
             service: Path::new(&wire.service)?,
-            slots: wire.slots,
+            slots: wire.slots.min(SLOTS_MAX),
             last_report: wire.last_report,
             leaving: wire.leaving,
         })
     }
 }
 
+/// Whether other nodes can connect to an address.
+pub fn is_peer_address(address: &SocketAddr) -> bool {
+    let ip = address.ip();
+    let broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !broadcast
+}
+
+/// Converts the values of a list that are not rejected, and counts the others in one log line.
+pub fn convert_valid<W, T>(wire_values: Vec<W>) -> Vec<T>
+where
+    T: TryFrom<W, Error = WireError>,
+{
+    let mut first_error = None;
+    let mut values = Vec::with_capacity(wire_values.len());
+    let count = wire_values.len();
+    for value in wire_values {
+        match T::try_from(value) {
+            Ok(value) => values.push(value),
+            Err(e) => first_error = first_error.or(Some(e)),
+        }
+    }
+    if let Some(e) = first_error {
+        let ignored = count - values.len();
+        log::warn!("ignored values from a peer that are not valid count={ignored}: {e}");
+    }
+    values
+}
+
 /// Converts a list of wire values. Returns the first error if any of them is rejected.
 pub fn convert_all<W, T>(wire_values: Vec<W>) -> Result<Vec<T>, WireError>
 where
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -48,6 +48,9 @@
     }
 }
 
+/// Longest name of a target instance, in bytes. Several records must fit into a datagram.
+pub const INSTANCE_MAX_BYTES: usize = 200;
+
 /// Identifies one start of a target: the name of the instance, and the start time in milliseconds
 /// since the Unix epoch, or zero if it is not known.
 pub type TargetStart = (Arc<str>, u64);
--- a/src/transport/kv.rs
+++ b/src/transport/kv.rs
@@ -12,6 +12,7 @@
 use super::http::{full_body, read_body};
 use super::platform::{Platform, PlatformError, PlatformResult, Value};
 use crate::protocol::dialect::{NativeDialect, header_number};
+use crate::protocol::entries::readable_entries;
 use crate::state::revision::{Era, Lease, Revision};
 
 /// Header with the revision of the value read or written.
@@ -216,8 +217,9 @@
         let response = self
             .call(Method::GET, path, &[], String::new(), no_wait)
             .await?;
+        let mut list = serde_json::Deserializer::from_str(&response.text);
         let listed: Vec<ListedItem> =
-            serde_json::from_str(&response.text).map_err(|_| PlatformError::Indeterminate)?;
+            readable_entries(&mut list).map_err(|_| PlatformError::Indeterminate)?;
         let key_and_value = |item: ListedItem| {
             let value = Value {
                 text: item.value,
--- a/tests/test_protocol.rs
+++ b/tests/test_protocol.rs
@@ -12,6 +12,7 @@
 
 use arbtest::arbitrary::Unstructured;
 use fuzz::{chance, number_below};
+use tarragoncourse::coordination::distribution::PullReply;
 use tarragoncourse::coordination::freshness::Confirmation;
 use tarragoncourse::coordination::members::{Message, PeerSummary};
 use tarragoncourse::coordination::queue::WorkKind;
@@ -22,6 +23,7 @@
 use tarragoncourse::protocol::headers::AttemptContext;
 use tarragoncourse::protocol::key::FleetKey;
 use tarragoncourse::protocol::peer::{PeerReply, PeerRequest};
+use tarragoncourse::protocol::record::decode_index;
 use tarragoncourse::protocol::wire::{WireError, WireMemberRecord, WireObject, WireSnapshot};
 use tarragoncourse::state::id::{AttemptId, Incarnation, Path, Version};
 use tarragoncourse::state::member::{Health, MemberRecord, TargetRecord};
@@ -350,6 +352,66 @@
 
 /// Guards against a record that makes the node that it describes count beyond its largest
 /// incarnation or sequence number when it refutes the record.
+/// Guards against one odd record that hides all others of a list.
+#[test]
+fn odd_records_of_a_peers_lists_hide_no_other_record() {
+    let records: Vec<MemberRecord> = (1..4).map(member_record).collect();
+    let with_target = |change: &dyn Fn(&mut TargetRecord)| {
+        let mut record = member_record(9);
+        record.target.iter_mut().for_each(change);
+        record
+    };
+    let odd = [
+        MemberRecord {
+            peer: SocketAddr::from(([10, 0, 0, 9], 0)),
+            ..member_record(9)
+        },
+        MemberRecord {
+            peer: SocketAddr::from(([0, 0, 0, 0], 7000)),
+            ..member_record(9)
+        },
+        MemberRecord {
+            peer: SocketAddr::from(([224, 0, 0, 1], 7000)),
+            ..member_record(9)
+        },
+        MemberRecord {
+            gate_port: 0,
+            ..member_record(9)
+        },
+        MemberRecord {
+            incarnation: Incarnation(u64::MAX),
+            ..member_record(9)
+        },
+        MemberRecord {
+            sequence: u32::MAX,
+            ..member_record(9)
+        },
+        with_target(&|t| t.instance = "i".repeat(1000).into()),
+    ];
+    let (mut sealer, mut opener) = (new_sealer(5), DatagramOpener::new(test_key()));
+    for record in odd {
+        let mut list = vec![record];
+        list.extend(records.clone());
+        let reply = PeerReply::Table(list.clone(), Version(3));
+        let expected = PeerReply::Table(records.clone(), Version(3));
+        let decoded = PeerReply::decode(&reply.encode()).unwrap();
+        assert_eq!(format!("{decoded:?}"), format!("{expected:?}"));
+        let datagram = Datagram::Member(Message::Gossip { records: list });
+        let bytes = sealer.seal(&datagram);
+        if bytes.len() <= DATAGRAM_MAX_BYTES {
+            let records = records.clone();
+            let expected = Datagram::Member(Message::Gossip { records });
+            assert_eq!(opener.open(&bytes), Ok((address(1), expected)));
+        }
+    }
+    let busy = [0, 7000].map(|port| SocketAddr::from(([10, 0, 0, 2], port)));
+    let reply = PeerReply::Pull(PullReply::Busy(busy.to_vec()));
+    match PeerReply::decode(&reply.encode()) {
+        Ok(PeerReply::Pull(PullReply::Busy(others))) => assert_eq!(others, busy[1..]),
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test]
 fn records_at_the_end_of_their_counters_are_rejected() {
     let record = member_record(1);
@@ -366,3 +428,21 @@
     };
     assert!(round_trip(&last_sequence).is_err());
 }
+
+/// Guards against a process that ends because an index in the store names more pieces than memory can
+/// hold.
+#[test]
+fn an_index_with_too_many_pieces_is_rejected() {
+    let hex = |digits| "0".repeat(digits);
+    let index = |pieces: &str| {
+        let (change, digest) = (hex(32), hex(64));
+        let text = format!(
+            "{{\"version\":7,\"change\":\"{change}\",\"digest\":\"{digest}\",\"pieces\":{pieces}}}"
+        );
+        decode_index(&text)
+    };
+    assert!(index("2").is_ok());
+    for pieces in ["100000", "1000000000000000000", "1e400", "-1"] {
+        assert!(index(pieces).is_err(), "{pieces}");
+    }
+}
