Take no repeated refusal for the answer to the next request

What callers would have seen, each by a test that failed: 'not run' for an order that its target was running (the retry of a refused request goes to the target with the same id, so that the repeated refusal passed for its answer); the same from a gate, and then the answer of that order as the answer to the next request; a write to the store, executed, taken for refused.

Cause: the target's echo tells requests apart, not attempts of one request, and a gate's and the store's answers named no request at all.

Between nodes, where refusals are frequent, a gate's answer repeats a part of the attempt's id, and an answer to another attempt ends the connection and leaves the outcome to be asked for. A gate of an earlier version repeats none and is believed.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -19,7 +19,8 @@
 use crate::coordination::transfer::{LARGE_BODY_BYTES, TransferDecision};
 use crate::protocol::dialect::{Dialect, header_number};
 use crate::protocol::headers::{
-    AttemptContext, BACKLOG_HEADER, INCARNATION_HEADER, LOAD_HEADER, SERVICE_HEADER,
+    AttemptContext, BACKLOG_HEADER, ECHO_HEADER, INCARNATION_HEADER, LOAD_HEADER, SERVICE_HEADER,
+    attempt_echo,
 };
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::state::id::{AttemptId, Fingerprints, Incarnation, Path};
@@ -232,7 +233,18 @@
         };
         context.write(&self.fleet_key, request.headers_mut());
         let exchange = async {
-            let response = self.gate_client.send(target.gate_addr, request).await?;
+            let sent = self.gate_client.send_tracked(target.gate_addr, request);
+            let (response, connection) = sent.await;
+            let mut response = response?;
+            if !take_echo(&mut response, context.attempt) {
+                connection.discard();
+                log::warn!(
+                    "a gate answered another attempt attempt={} peer={}",
+                    context.attempt,
+                    target.peer
+                );
+                return Err(SendError::Broken);
+            }
             let service_time = || elapsed_unless_bulk(started);
             Ok(read_gate_response(response, &call.service, service_time).await)
         };
@@ -382,6 +394,12 @@
     }
 }
 
+/// Whether a gate's response belongs to an attempt, as far as it tells; gates of earlier versions do not.
+fn take_echo(response: &mut Response<Body>, attempt: AttemptId) -> bool {
+    let echo = response.headers_mut().remove(ECHO_HEADER);
+    echo.is_none_or(|echo| echo == attempt_echo(attempt))
+}
+
 /// Interprets the response of a gate. Without the outcome header, it did not come from a gate:
 /// another process listens at that address.
 async fn read_gate_response(
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -28,7 +28,9 @@
 use crate::protocol::dialect::{
     Dialect, ResponseKind, TargetHop, keep_alive_timeout, remove_attempts_left,
 };
-use crate::protocol::headers::{AttemptContext, INCARNATION_HEADER, SERVICE_HEADER};
+use crate::protocol::headers::{
+    AttemptContext, ECHO_HEADER, INCARNATION_HEADER, SERVICE_HEADER, attempt_echo,
+};
 use crate::state::id::{AttemptId, Fingerprints, Incarnation};
 use crate::state::member::TargetStart;
 use crate::transport::client::SendError;
@@ -79,7 +81,12 @@
                 context.objective_left = context
                     .objective_left
                     .map(|o| o.saturating_sub(unread_time));
-                self.0.run_local(context, request).await
+                let attempt = context.attempt;
+                let mut response = self.0.run_local(context, request).await;
+                response
+                    .headers_mut()
+                    .insert(ECHO_HEADER, attempt_echo(attempt));
+                response
             }
             Err(e) => {
                 log::warn!("rejected a request to the gate: {e}");
@@ -281,8 +288,12 @@
             // A target may reject a request before it has read the body. The next request on this
             // connection would wait until it has.
             let may_have_unread_body = has_body && !parts.status.is_success();
+            // A faulty target may repeat a refusal. A later attempt of the same request has the same
+            // id, so the repeated one would pass for the answer to it.
+            let is_refusal = matches!(kind, ResponseKind::NotRun(_));
             if expires_early
                 || may_have_unread_body
+                || is_refusal
                 || !dialect.has_echo(&parts.headers, echo.as_ref())
             {
                 connection.discard();
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -25,6 +25,9 @@
 pub const INCARNATION_HEADER: &str = "tarragon-incarnation";
 /// Service of that gate's target. After a replacement, another service may have the address.
 pub const SERVICE_HEADER: &str = "tarragon-service";
+/// In the response of a gate: a part of the id of the attempt that it belongs to, in hexadecimal. It tells
+/// a response that arrives once more from the one to the next attempt on the connection.
+pub const ECHO_HEADER: &str = "tarragon-echo";
 /// Fingerprints of the request, in hexadecimal, separated by commas. An ingress sets it for the gate.
 pub const FINGERPRINTS_HEADER: &str = "tarragon-fingerprints";
 
@@ -47,16 +50,29 @@
 
 /// Headers that only nodes may set. Nodes remove them from requests of callers and from responses
 /// of targets.
-pub const INTERNAL_HEADERS: [&str; 7] = [
+pub const INTERNAL_HEADERS: [&str; 8] = [
     ATTEMPT_CONTEXT_HEADER,
     ATTEMPT_ID_HEADER,
     LOAD_HEADER,
     BACKLOG_HEADER,
+    ECHO_HEADER,
     INCARNATION_HEADER,
     SERVICE_HEADER,
     FINGERPRINTS_HEADER,
 ];
 
+/// Value of [`ECHO_HEADER`] for an attempt.
+///
+/// ```
+/// use tarragoncourse::protocol::headers::attempt_echo;
+/// use tarragoncourse::state::id::AttemptId;
+/// assert_eq!(attempt_echo(AttemptId(0x1f)), "0000001f");
+/// ```
+pub fn attempt_echo(attempt: AttemptId) -> HeaderValue {
+    let text = format!("{:08x}", attempt.0 as u32);
+    HeaderValue::from_str(&text).expect("hexadecimal digits are valid in a header")
+}
+
 /// Data about an attempt that an ingress sends to the gate in [`ATTEMPT_CONTEXT_HEADER`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptContext {
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -123,6 +123,24 @@
         response
     }
 
+    /// Like [`HttpClient::send`], for a server whose responses do not tell which request they belong to.
+    /// A refusal (a status that is no success) ends its connection: one that the server repeats
+    /// would be taken for the response to the next request.
+    ///
+    /// # Errors
+    /// [`SendError`] tells whether the request may have been sent.
+    pub async fn send_refusable(
+        &self,
+        to: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        let (response, connection) = self.send_tracked(to, request).await;
+        if response.as_ref().is_ok_and(|r| !r.status().is_success()) {
+            connection.discard();
+        }
+        response
+    }
+
     /// Like [`HttpClient::send`], but also returns a handle to the connection that was used.
     pub async fn send_tracked(
         &self,
--- a/src/transport/kv.rs
+++ b/src/transport/kv.rs
@@ -75,7 +75,7 @@
         let response = async {
             let response = self
                 .client
-                .send(self.address, request)
+                .send_refusable(self.address, request)
                 .await
                 .map_err(platform_error)?;
             if let Some(era) = header_number(response.headers(), ERA_HEADER) {
