--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,6 +21,7 @@
 pub mod pause;
 pub mod pick;
 pub mod queue;
+pub mod refusals;
 pub mod restarts;
 pub mod retry;
 pub mod shutdown;
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -33,7 +33,7 @@
 };
 use crate::state::id::{AttemptId, Fingerprints, Incarnation};
 use crate::state::member::TargetStart;
-use crate::transport::client::SendError;
+use crate::transport::client::{HttpClient, SendError};
 use crate::transport::clock::read_clocks;
 use crate::transport::http::Endpoint;
 use crate::transport::platform::Platform;
@@ -273,10 +273,8 @@
         // response arrives.
         guard.outcome = Outcome::Unknown(UnknownReason::TargetBroken);
         let exchange = async {
-            let (sent, connection) = self
-                .target_client
-                .send_tracked(target.address, request)
-                .await;
+            let client = self.client_for(echo.as_ref());
+            let (sent, connection) = client.send_tracked(target.address, request).await;
             let (parts, body) = sent?.into_parts();
             let kind = dialect.classify_response(&parts, echo.as_ref(), self.shed_status(target));
             if kind.is_from_target() {
@@ -288,12 +286,11 @@
             // A target may reject a request before it has read the body. The next request on this
             // connection would wait until it has.
             let may_have_unread_body = has_body && !parts.status.is_success();
-            // A faulty target may repeat a refusal. A later attempt of the same request has the same
-            // id, so the repeated one would pass for the answer to it.
-            let is_refusal = matches!(kind, ResponseKind::NotRun(_));
+            if let (ResponseKind::NotRun(_), Some(id)) = (kind, &echo) {
+                lock(&self.recent_refusals).record(id.as_bytes());
+            }
             if expires_early
                 || may_have_unread_body
-                || is_refusal
                 || !dialect.has_echo(&parts.headers, echo.as_ref())
             {
                 connection.discard();
@@ -343,6 +340,16 @@
         }
     }
 
+    /// Returns the client for a request to the local target: one that opens a new connection if the
+    /// target has refused the same request lately.
+    fn client_for(&self, id: Option<&HeaderValue>) -> &HttpClient {
+        let refused = id.is_some_and(|id| lock(&self.recent_refusals).contains(id.as_bytes()));
+        match refused {
+            true => &self.unpooled_client,
+            false => &self.target_client,
+        }
+    }
+
     /// Returns the target's response. The attempt keeps its slot until the response has been
     /// streamed, or releases it now if the response is already in memory.
     fn stream_response(
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,7 +12,8 @@
 //!
 //! To avoid deadlocks, mutexes are locked in the order of the fields of [`Node`]: members,
 //! distribution, watcher_slot, freshness, announced_target, target_notices, gate, target_health, link_schedule, picker,
-//! peer_restarts, retry_budgets, sender, pending_fetches, pauses. A lock is never held across an await.
+//! peer_restarts, retry_budgets, sender, pending_fetches, pauses,
+//! recent_refusals. A lock is never held across an await.
 
 mod api;
 mod attempt;
@@ -61,6 +62,7 @@
 use crate::coordination::notice::TargetNotices;
 use crate::coordination::pause::PauseDetector;
 use crate::coordination::pick::Picker;
+use crate::coordination::refusals::RecentRefusals;
 use crate::coordination::restarts::PeerRestarts;
 use crate::coordination::retry::RetryBudgets;
 use crate::coordination::target_end::BrokenAttempts;
@@ -159,6 +161,10 @@
     gate_client: HttpClient,
     /// HTTP client for the local target.
     target_client: HttpClient,
+    /// HTTP client for the local target that opens a connection for each request.
+    unpooled_client: HttpClient,
+    /// Requests that the local target has refused.
+    recent_refusals: Mutex<RecentRefusals>,
     claim_queue: ClaimQueue,
     claim_memory: Mutex<ClaimMemory>,
     pull_permits: Semaphore,
@@ -232,6 +238,8 @@
             udp,
             gate_client: HttpClient::default(),
             target_client: HttpClient::with_idle_timeout(TARGET_IDLE_TIMEOUT),
+            unpooled_client: HttpClient::unpooled(),
+            recent_refusals: Mutex::default(),
             claim_queue,
             claim_memory: Mutex::default(),
             pull_permits: Semaphore::new(CONCURRENT_PULLS_MAX),
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -83,7 +83,12 @@
 impl HttpClient {
     /// Creates a client that closes connections that have been idle for `idle_timeout`.
     pub fn with_idle_timeout(idle_timeout: Duration) -> HttpClient {
-        HttpClient::build(HttpConnector::new(), idle_timeout)
+        HttpClient::build(HttpConnector::new(), idle_timeout, IDLE_CONNECTIONS_MAX)
+    }
+
+    /// Creates a client that opens a connection for each request.
+    pub fn unpooled() -> HttpClient {
+        HttpClient::build(HttpConnector::new(), IDLE_TIMEOUT, 0)
     }
 
     /// Creates a client that sends TCP keepalive probes on silent connections at this interval, so
@@ -93,10 +98,10 @@
         connector.set_keepalive(Some(interval));
         connector.set_keepalive_interval(Some(interval));
         connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
-        HttpClient::build(connector, IDLE_TIMEOUT)
+        HttpClient::build(connector, IDLE_TIMEOUT, IDLE_CONNECTIONS_MAX)
     }
 
-    fn build(mut connector: HttpConnector, idle_timeout: Duration) -> HttpClient {
+    fn build(mut connector: HttpConnector, idle_timeout: Duration, idle_max: usize) -> HttpClient {
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
@@ -105,7 +110,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_timeout)
-            .pool_max_idle_per_host(IDLE_CONNECTIONS_MAX)
+            .pool_max_idle_per_host(idle_max)
             .build(connector);
         HttpClient(client)
     }
