Answer pipelines that are longer than the queue of their connection

Cause: the reader parsed heads only after a read from the socket, not when a place in its queue became free. Related: the deadline of a request counted from its turn, not from its arrival, so that answers came later with each place.

Change: heads are parsed whenever there is a place; each head keeps the time of its arrival, and the ingress counts the wait. The queue holds 32 heads.

Tests: a_long_pipeline_is_answered_whole and the_time_that_a_request_waits_behind_others_is_told failed before (no response in 5 s; a caller could claim any wait).

--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -26,7 +26,7 @@
 };
 use crate::coordination::traffic_split;
 use crate::protocol::dialect::{Dialect, header_number};
-use crate::protocol::headers::ATTEMPTS_LEFT_HEADER;
+use crate::protocol::headers::{ATTEMPTS_LEFT_HEADER, WAITED_HEADER};
 use crate::state::id::{AttemptId, Fingerprints, Path};
 use crate::state::object::Limits;
 use crate::state::routing::{RouteEntry, RoutingTable};
@@ -48,7 +48,10 @@
 impl<P: Platform> Endpoint for Ingress<P> {
     async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
         let node = &self.0;
-        let started = Instant::now();
+        let waited = header_number(request.headers(), WAITED_HEADER).unwrap_or(0);
+        let waited = Duration::from_millis(waited);
+        let now = Instant::now();
+        let started = now.checked_sub(waited).unwrap_or(now);
         let table = node.routing.load_full();
         let route = find_route(&table, &request).cloned();
         let class = route.as_ref().map(|r| r.route.class);
@@ -132,7 +135,7 @@
         let elapsed = elapsed + unread_time;
         let timeout = caller_timeout.map_or(route.route.deadline, |t| t.min(route.route.deadline));
         let timeout = timeout.saturating_sub(unread_time);
-        if timeout.is_zero() {
+        if Instant::now() >= started + timeout {
             return self.local_response(Outcome::NotRun(NotRun::Deadline), RETRY_AFTER_DEFAULT);
         }
         let buffered = self.body_buffer.buffer_or_stream(&parts.headers, body);
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -28,6 +28,9 @@
 /// In the response of a gate: a part of the id of the attempt that it belongs to, in hexadecimal. It tells
 /// a response that arrives once more from the one to the next attempt on the connection.
 pub const ECHO_HEADER: &str = "tarragon-echo";
+/// Time for which a pipelined request has waited behind others on its connection before its service was
+/// called, in milliseconds. The server of the connection sets it.
+pub const WAITED_HEADER: &str = "tarragon-waited-ms";
 /// Fingerprints of the request, in hexadecimal, separated by commas. An ingress sets it for the gate.
 pub const FINGERPRINTS_HEADER: &str = "tarragon-fingerprints";
 
@@ -50,12 +53,13 @@
 
 /// Headers that only nodes may set. Nodes remove them from requests of callers and from responses
 /// of targets.
-pub const INTERNAL_HEADERS: [&str; 8] = [
+pub const INTERNAL_HEADERS: [&str; 9] = [
     ATTEMPT_CONTEXT_HEADER,
     ATTEMPT_ID_HEADER,
     LOAD_HEADER,
     BACKLOG_HEADER,
     ECHO_HEADER,
+    WAITED_HEADER,
     INCARNATION_HEADER,
     SERVICE_HEADER,
     FINGERPRINTS_HEADER,
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -190,9 +190,10 @@
     };
     let stream = LookaheadStream::new(StallGuard::new(stream), pipeline.clone(), start_early);
     let reader_state = pipeline.clone();
-    let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+    let service = service_fn(move |mut request: Request<hyper::body::Incoming>| {
         let endpoint = endpoint.clone();
         let guard = ResponseGuard(pipeline.clone());
+        pipeline.set_waited(request.headers_mut());
         async move {
             let response = match guard.0.take_early_request() {
                 Some(early) => early.response().await,
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -16,21 +16,27 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use gotham::helpers::http::Body;
 use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE};
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::protocol::headers::WAITED_HEADER;
 
 /// Maximum number of bytes read ahead while a request is in progress.
 const BUFFERED_MAX_BYTES: usize = 16 << 10;
 /// Maximum number of request heads that wait in the buffer of one connection. It also limits the
 /// number of requests that are started early.
-const QUEUED_HEADS_MAX: usize = 8;
+const QUEUED_HEADS_MAX: usize = 32;
 /// Maximum number of headers in a request that this module parses.
 const HEADERS_MAX: usize = 64;
+/// Shortest time that a request has waited behind others for which its service is told.
+const WAITED_MIN: Duration = Duration::from_millis(5);
 /// Size of the buffer for one read from the socket.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
@@ -65,6 +71,8 @@
     /// The request passed to the HTTP library, if it was started early and its response has not
     /// been fetched yet.
     current: Mutex<Option<EarlyRequest>>,
+    /// When that request had arrived.
+    arrived_at: Mutex<Option<Instant>>,
 }
 
 impl PipelineState {
@@ -84,8 +92,15 @@
         self.busy.store(false, Ordering::Release);
     }
 
-    fn begin(&self, early: Option<EarlyRequest>) {
+    /// Tells the service of the current request how long that has waited behind others.
+    pub fn set_waited(&self, headers: &mut HeaderMap) {
+        let arrived_at = *self.arrived_at.lock().unwrap_or_else(|e| e.into_inner());
+        set_waited(headers, arrived_at);
+    }
+
+    fn begin(&self, early: Option<EarlyRequest>, arrived_at: Instant) {
         *self.lock_current() = early;
+        *self.arrived_at.lock().unwrap_or_else(|e| e.into_inner()) = Some(arrived_at);
         self.busy.store(true, Ordering::Release);
     }
 
@@ -94,6 +109,15 @@
     }
 }
 
+/// Sets [`WAITED_HEADER`], which a caller must not set, to the time since a request arrived.
+fn set_waited(headers: &mut HeaderMap, arrived_at: Option<Instant>) {
+    let waited = arrived_at.map_or(Duration::ZERO, |at| at.elapsed());
+    match waited >= WAITED_MIN {
+        true => drop(headers.insert(WAITED_HEADER, HeaderValue::from(waited.as_millis() as u64))),
+        false => drop(headers.remove(WAITED_HEADER)),
+    }
+}
+
 /// Marks the current request as finished when dropped.
 #[derive(Debug)]
 pub struct ResponseGuard(pub Arc<PipelineState>);
@@ -121,6 +145,16 @@
     length: usize,
     body: BodyLength,
     early: Option<EarlyRequest>,
+    /// When its last byte was read from the socket.
+    arrived_at: Instant,
+}
+
+/// A read from the inner stream.
+#[derive(Debug)]
+struct Arrival {
+    /// Number of bytes of the connection up to its end.
+    end: u64,
+    at: Instant,
 }
 
 #[derive(Debug, PartialEq)]
@@ -146,6 +180,10 @@
     scanned_bytes: usize,
     /// Number of bytes of the current head that have not been passed on yet.
     head_remaining: usize,
+    /// Number of bytes of the connection that have left the buffer.
+    passed_bytes: u64,
+    /// The reads whose bytes are still in the buffer.
+    arrivals: VecDeque<Arrival>,
     mode: Mode,
 }
 
@@ -165,6 +203,8 @@
             heads: VecDeque::new(),
             scanned_bytes: 0,
             head_remaining: 0,
+            passed_bytes: 0,
+            arrivals: VecDeque::new(),
             mode: Mode::Heads,
         }
     }
@@ -175,6 +215,10 @@
         let mut buf = ReadBuf::new(&mut bytes);
         ready!(Pin::new(&mut self.inner).poll_read(cx, &mut buf))?;
         self.buffer.extend_from_slice(buf.filled());
+        self.arrivals.push_back(Arrival {
+            end: self.passed_bytes + self.buffer.len() as u64,
+            at: Instant::now(),
+        });
         Poll::Ready(Ok(buf.filled().len()))
     }
 
@@ -191,8 +235,10 @@
             };
             let body = request.as_ref().map_or(BodyLength::Unknown, body_length);
             let must_wait = self.state.is_busy() || !self.heads.is_empty();
+            let arrived_at = self.arrival(self.scanned_bytes + length);
             let early = match request {
-                Some(request) if must_wait && body == BodyLength::Empty => {
+                Some(mut request) if must_wait && body == BodyLength::Empty => {
+                    set_waited(request.headers_mut(), Some(arrived_at));
                     (self.start_early)(request)
                 }
                 _ => None,
@@ -202,15 +248,31 @@
                 length,
                 body,
                 early,
+                arrived_at,
             });
         }
     }
 
+    /// When the first `length` bytes of the buffer had arrived.
+    fn arrival(&self, length: usize) -> Instant {
+        let end = self.passed_bytes + length as u64;
+        let read = self.arrivals.iter().find(|a| a.end >= end);
+        read.map_or_else(Instant::now, |a| a.at)
+    }
+
     /// Moves at most `max` bytes from the buffer to `buf`. Returns the number of bytes moved.
     fn copy_buffered(&mut self, buf: &mut ReadBuf<'_>, max: usize) -> usize {
         let count = max.min(buf.remaining()).min(self.buffer.len());
         buf.put_slice(&self.buffer[..count]);
         self.buffer.advance(count);
+        self.passed_bytes += count as u64;
+        while self
+            .arrivals
+            .front()
+            .is_some_and(|a| a.end <= self.passed_bytes)
+        {
+            self.arrivals.pop_front();
+        }
         count
     }
 
@@ -229,6 +291,9 @@
                 self.head_remaining -= self.copy_buffered(buf, self.head_remaining);
                 return Poll::Ready(Ok(()));
             }
+            // Heads that found no place in the queue wait in the buffer, and the caller may send
+            // nothing more.
+            self.scan_heads();
             let busy = self.state.is_busy();
             if busy && self.buffer.len() >= BUFFERED_MAX_BYTES {
                 return Poll::Pending;
@@ -236,7 +301,7 @@
             if !busy && let Some(head) = self.heads.pop_front() {
                 self.scanned_bytes -= head.length;
                 self.head_remaining = head.length;
-                self.state.begin(head.early);
+                self.state.begin(head.early, head.arrived_at);
                 match head.body {
                     BodyLength::Empty => {}
                     // The body follows its head directly, so both are passed through together.
@@ -259,7 +324,7 @@
                     return self.poll_mode(cx, buf);
                 }
                 0 => return Poll::Ready(Ok(())),
-                _ => self.scan_heads(),
+                _ => {}
             }
         }
     }
--- a/tests/test_pipeline.rs
+++ b/tests/test_pipeline.rs
@@ -175,3 +175,53 @@
     stream.read_to_string(&mut response).await.unwrap();
     assert!(response.starts_with("HTTP/1.1 400"), "{response}");
 }
+
+/// Guards against requests that are never answered, because the caller has sent more of them than the
+/// queue of a connection holds, and then waits.
+#[tokio::test]
+async fn a_long_pipeline_is_answered_whole() {
+    let (endpoint, address, _stop) = start_server().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let paths: Vec<String> = (0..100).map(|n| format!("/{n}/20")).collect();
+    let requests: String = paths.iter().map(|p| get(p)).collect();
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    let expected: Vec<String> = paths.iter().map(|p| format!("{p}+0")).collect();
+    assert_eq!(read_bodies(&mut stream, paths.len()).await, expected);
+    assert_eq!(endpoint.completed.load(Ordering::SeqCst), 100);
+}
+
+/// Guards against a request whose deadline counts from the moment at which those before it on the
+/// connection were answered.
+#[tokio::test]
+async fn the_time_that_a_request_waits_behind_others_is_told() {
+    struct Waited;
+    impl Endpoint for Waited {
+        async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
+            let waited = request.headers().get("tarragon-waited-ms");
+            let waited = waited.map_or("0", |w| w.to_str().unwrap()).to_string();
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            body_response(StatusCode::OK, "text/plain", format!("{waited};"))
+        }
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_stop, stopped) = watch::channel(false);
+    let limits = ServeLimits {
+        max_connections: 16,
+        drain_timeout: Duration::from_secs(1),
+    };
+    tokio::spawn(serve(listener, Arc::new(Waited), limits, stopped));
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    // A caller cannot claim to have waited.
+    let forged = "GET /a HTTP/1.1\r\nhost: a\r\ntarragon-waited-ms: 70000\r\n\r\n";
+    let requests = [forged.to_string(), post("/b", "x"), get("/c")].concat();
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    let waited: Vec<u64> = read_bodies(&mut stream, 3)
+        .await
+        .iter()
+        .map(|w| w.parse().unwrap())
+        .collect();
+    assert_eq!(waited[0], 0);
+    assert!((190..400).contains(&waited[1]), "{waited:?}");
+    assert!((390..800).contains(&waited[2]), "{waited:?}");
+}
