Believe a late report of an earlier start only once it goes on

Cause: after 5 s without a report one of an earlier start was accepted. A target that has left is always silent for so long. Related, by reading: a leave notice of a start that had not reported yet was acknowledged and ignored.

Change: the same instance must report an earlier start for 15 s, in order, until it is believed. A leave notice of a later start applies.

Tests: a_late_report_of_an_earlier_start_does_not_bring_a_leaving_target_back and a_leave_notice_of_a_later_start_applies, both failed before.

--- a/src/coordination/announce.rs
+++ b/src/coordination/announce.rs
@@ -11,9 +11,14 @@
 
 use crate::state::member::{Health, TargetRecord, TargetStart};
 
-/// After this long without a report, a report with an earlier start time than the last one is
-/// accepted: the target's clock may have been set back before it restarted.
+/// After this long without a report, a report of another instance with an earlier start time than the
+/// last one is accepted: the clock may have been set back before that instance started.
 const START_ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which an instance must report an earlier start than before, in order, until it is believed
+/// that it has started again after its clock was set back. Reports of the earlier start that are
+/// merely late arrive over a shorter time. Requests name only the instance, so the target itself
+/// would not refuse those that are meant for its earlier start.
+const RESTART_PROOF_TIME: Duration = Duration::from_secs(15);
 
 /// Lifecycle stage of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,6 +78,18 @@
     /// to this process: from a leave notice, or from the record that an earlier incarnation of this
     /// node published. The start time is `u64::MAX` if the notice did not give one.
     recorded_leave: Option<(Arc<str>, u64)>,
+    /// Reports of an earlier start of the current instance since its last report.
+    earlier_reports: Option<EarlierReports>,
+}
+
+/// Reports of an earlier start of the instance than the one that is believed.
+#[derive(Debug)]
+struct EarlierReports {
+    boot: u64,
+    /// Sequence number of the last one.
+    sequence: u64,
+    /// When the first one arrived.
+    since: Instant,
 }
 
 impl AnnouncedTarget {
@@ -108,6 +125,7 @@
         if self.is_known_leaving(&report) {
             report.stage = Stage::Leaving;
         }
+        self.earlier_reports = None;
         self.latest = Some(LatestReport {
             cold_until: now + report.warmup,
             report,
@@ -128,10 +146,15 @@
             self.recorded_leave = Some((instance.into(), boot));
             return UpdateOutcome::Changed;
         };
-        let other_start = boot.is_some_and(|b| b != latest.report.boot);
-        if &*latest.report.instance != instance || other_start {
+        let boot = boot.unwrap_or(latest.report.boot);
+        if &*latest.report.instance != instance || boot < latest.report.boot {
             return UpdateOutcome::Stale;
         }
+        // A later start may leave before any of its reports has arrived.
+        if boot > latest.report.boot {
+            latest.report.boot = boot;
+            latest.report.sequence = 0;
+        }
         if latest.report.stage == Stage::Leaving {
             return UpdateOutcome::Known;
         }
@@ -224,16 +247,42 @@
         ))
     }
 
-    fn is_stale(&self, report: &TargetReport, now: Instant) -> bool {
+    fn is_stale(&mut self, report: &TargetReport, now: Instant) -> bool {
         let Some(latest) = &self.latest else {
             return false;
         };
         let current = &latest.report;
         let timed_out = now - latest.received_at > START_ORDER_TIMEOUT;
-        if report.instance == current.instance && report.boot == current.boot {
-            return report.sequence <= current.sequence;
+        if report.boot >= current.boot {
+            let same_start = report.instance == current.instance && report.boot == current.boot;
+            return same_start && report.sequence <= current.sequence;
+        }
+        match report.instance == current.instance {
+            true => !self.proves_restart(report, now),
+            false => !timed_out,
+        }
+    }
+
+    /// Whether the instance has reported an earlier start than before for so long that it must have
+    /// started again after its clock was set back.
+    fn proves_restart(&mut self, report: &TargetReport, now: Instant) -> bool {
+        match &mut self.earlier_reports {
+            Some(earlier) if earlier.boot == report.boot => {
+                if report.sequence <= earlier.sequence {
+                    return false;
+                }
+                earlier.sequence = report.sequence;
+                now - earlier.since >= RESTART_PROOF_TIME
+            }
+            _ => {
+                self.earlier_reports = Some(EarlierReports {
+                    boot: report.boot,
+                    sequence: report.sequence,
+                    since: now,
+                });
+                false
+            }
         }
-        report.boot < current.boot && !timed_out
     }
 
     fn is_known_leaving(&self, report: &TargetReport) -> bool {
--- a/tests/test_announce.rs
+++ b/tests/test_announce.rs
@@ -85,6 +85,56 @@
     );
 }
 
+/// Guards against a target that has left and is offered again because of a late report of its earlier
+/// start under the same id. Requests name only the id, so the target would run them.
+#[test]
+fn a_late_report_of_an_earlier_start_does_not_bring_a_leaving_target_back() {
+    let mut now = Instant::now();
+    let mut target = AnnouncedTarget::default();
+    target.handle_report(serving_report("a", 1000, 7), now);
+    target.handle_report(serving_report("a", 2000, 1), now);
+    target.mark_leaving("a", Some(2000));
+    // A batch of reports that a partition of 12 s has held up, and one of them twice.
+    for (after, sequence) in [(6, 8), (8, 9), (12, 10), (17, 11), (21, 11), (40, 9)] {
+        let at = now + Duration::from_secs(after);
+        let late = serving_report("a", 1000, sequence);
+        assert_eq!(
+            target.handle_report(late, at),
+            UpdateOutcome::Stale,
+            "{after} s"
+        );
+        assert_eq!(target.health(at), Health::Down);
+    }
+    // The instance has started again after its clock was set back, and goes on reporting.
+    now += Duration::from_secs(60);
+    let mut heard = Vec::new();
+    for n in 0..20_u32 {
+        let at = now + n * Duration::from_millis(1500);
+        heard.push(target.handle_report(serving_report("a", 1500, n.into()), at));
+    }
+    assert_eq!(
+        heard.iter().position(|h| *h == UpdateOutcome::Changed),
+        Some(10)
+    );
+    assert_eq!(target.start(), Some(("a".into(), 1500)));
+}
+
+/// Guards against a target that has left and gets requests, because none of the reports of its present
+/// start had arrived before its leave notice.
+#[test]
+fn a_leave_notice_of_a_later_start_applies() {
+    let now = Instant::now();
+    let mut target = AnnouncedTarget::default();
+    target.handle_report(serving_report("a", 1000, 7), now);
+    assert_eq!(target.mark_leaving("a", Some(2000)), UpdateOutcome::Changed);
+    assert_eq!(target.health(now), Health::Down);
+    // Late reports of both starts.
+    for late in [serving_report("a", 1000, 8), serving_report("a", 2000, 1)] {
+        target.handle_report(late, now);
+        assert_eq!(target.health(now), Health::Down);
+    }
+}
+
 #[test]
 fn a_leave_notice_applies_only_to_the_current_instance_and_start() {
     let now = Instant::now();
