Set the node's own headers after those that a caller names are removed

Cause: the ingress set the header and removed what Connection names later.

Change: hop-by-hop headers are removed first, and a dialect names the headers that concern the whole way, which a Connection header cannot remove, neither from requests nor from answers (a signature that its target names so).

Test: a_connection_header_removes_no_header_that_the_target_needs failed before (no x-attempt-id at the target).

--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -255,7 +255,7 @@
             deadline,
         } = admitted;
         let dialect = self.platform.dialect();
-        strip_hop_headers(request.headers_mut());
+        strip_hop_headers(request.headers_mut(), dialect.end_to_end_headers());
         remove_attempts_left(request.headers_mut());
         let time_left = deadline.saturating_duration_since(Instant::now());
         let sent_to = SentTo::new(self);
@@ -360,7 +360,10 @@
     ) -> Response<Body> {
         lock(&self.target_health).record_answer(Instant::now());
         guard.outcome = Outcome::Answered;
-        strip_hop_headers(response.headers_mut());
+        strip_hop_headers(
+            response.headers_mut(),
+            self.platform.dialect().end_to_end_headers(),
+        );
         set_outcome_headers(response.headers_mut(), Outcome::Answered, self.gate_load());
         response.map(|body| {
             // A response that is completely in memory no longer occupies the target.
--- a/src/node/gate_response.rs
+++ b/src/node/gate_response.rs
@@ -28,8 +28,13 @@
     rate.map_or_else(|| "-".to_string(), |r| r.to_string())
 }
 
-/// Removes hop-by-hop headers, and headers that nodes use among themselves.
-pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
+/// Headers that concern the whole way of a message, whatever its `Connection` header names.
+const END_TO_END: [&str; 3] = ["host", "content-length", "idempotency-key"];
+
+/// Removes hop-by-hop headers, and headers that nodes use among themselves. `end_to_end` are headers of
+/// the dialect that a `Connection` header does not remove.
+pub(super) fn strip_hop_headers(headers: &mut HeaderMap, end_to_end: &[&str]) {
+    let is_kept = |name: &str| END_TO_END.contains(&name) || end_to_end.contains(&name);
     let named: Vec<String> = headers
         .get_all(hyper::header::CONNECTION)
         .iter()
@@ -37,7 +42,7 @@
         .flat_map(|v| v.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
         .collect();
-    for name in named {
+    for name in named.iter().filter(|name| !is_kept(name)) {
         headers.remove(name.as_str());
     }
     for name in HOP_BY_HOP.into_iter().chain(INTERNAL_HEADERS) {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -145,6 +145,8 @@
                 return self.local_response(Outcome::NotRun(NotRun::CallerGone), Duration::ZERO);
             }
         };
+        // Before the node's own headers are set, since the caller may name any header.
+        strip_hop_headers(&mut parts.headers, dialect.end_to_end_headers());
         dialect.set_caller_headers(&mut parts.headers);
         let mut call = Call {
             method: parts.method,
@@ -231,7 +233,6 @@
         let idempotent = is_idempotent(route.route.idempotency, call.method.as_str());
         let max_attempts = header_number(&call.headers, ATTEMPTS_LEFT_HEADER).unwrap_or(u64::MAX);
         let max_attempts = max_attempts.clamp(1, route.route.max_attempts.into()) as u8;
-        strip_hop_headers(&mut call.headers);
         write_fingerprints(&call.fingerprints, &mut call.headers);
         lock(&self.retry_budgets)
             .for_service(&call.service)
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -54,6 +54,10 @@
 
 /// Reads and writes the headers and statuses between the mesh, its callers and its targets.
 pub trait Dialect: Clone + Send + Sync + 'static {
+    /// Headers, in lower case, that concern the whole way of a request or response. A `Connection` header
+    /// that names one of them does not remove it.
+    fn end_to_end_headers(&self) -> &'static [&'static str];
+
     /// How long the caller waits for a response, or `None` if the request does not state it.
     fn caller_timeout(&self, headers: &HeaderMap) -> Option<Duration>;
 
@@ -105,6 +109,10 @@
 pub struct NativeDialect;
 
 impl Dialect for NativeDialect {
+    fn end_to_end_headers(&self) -> &'static [&'static str] {
+        &[REQUEST_ID_HEADER]
+    }
+
     fn caller_timeout(&self, headers: &HeaderMap) -> Option<Duration> {
         header_number(headers, DEADLINE_HEADER).map(Duration::from_millis)
     }
