Send the body of a request without a length whatever its method

Cause: the HTTP library sends no body of unknown length with these methods unless its framing is named.

Change: the client names it (transfer-encoding: chunked), on both hops.

--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 use gotham::helpers::http::Body;
+use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, Uri};
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
@@ -176,11 +178,25 @@
             .path_and_query(path)
             .build()
             .map_err(|_| SendError::NotSent)?;
+        frame_body(&mut request);
         let response = self.0.request(request).await.map_err(send_error)?;
         Ok(response.map(streaming_body))
     }
 }
 
+/// Names the framing of a body without a length. The HTTP library would not send that of a request whose
+/// method seldom has one.
+fn frame_body(request: &mut Request<Body>) {
+    let has_length = request.headers().contains_key(CONTENT_LENGTH);
+    if !has_length
+        && !request.body().is_end_stream()
+        && request.body().size_hint().exact().is_none()
+    {
+        let chunked = HeaderValue::from_static("chunked");
+        request.headers_mut().insert(TRANSFER_ENCODING, chunked);
+    }
+}
+
 fn send_error(e: Error) -> SendError {
     if e.is_connect() {
         SendError::NotSent
