--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -31,6 +31,9 @@
 /// Maximum number of idle connections in the pool for each address.
 const IDLE_CONNECTIONS_MAX: usize = 64;
 
+/// Largest read from a connection, which also limits the size of a response's head. A turn of the
+/// connection's task reads up to 128 times before the count of interim responses is looked at.
+const READ_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum number of interim responses (1xx) to one request.
 const INTERIM_RESPONSES_MAX: usize = 16;
 
@@ -113,6 +116,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_timeout)
             .pool_max_idle_per_host(idle_max)
+            .http1_max_buf_size(READ_BUFFER_BYTES)
             .build(connector);
         HttpClient(client)
     }
