Ask again when a call for the configuration ended without a result

Found by reading: a call whose task ends without recording a result, such as by a panic, would have kept the node from ever asking the platform again. A call counts as lost after 10 s, longer than any takes.

Test: a_call_without_a_result_is_followed_by_another (on the code before, the call stayed in progress; not run there).

--- a/src/coordination/freshness.rs
+++ b/src/coordination/freshness.rs
@@ -30,6 +30,8 @@
 const NEWER_SHARE: f64 = 0.25;
 /// Largest factor by which unanswered calls extend the interval.
 const BACKOFF_MAX: u32 = 8;
+/// Time after which a call without a result counts as lost, longer than any call takes.
+const CALL_LOST_AFTER: Duration = Duration::from_secs(10);
 /// Oldest confirmation that is taken into account.
 pub const CONFIRMATION_AGE_MAX: Duration = Duration::from_secs(60);
 
@@ -72,7 +74,8 @@
     /// Moment as of which the configuration is confirmed.
     confirmed_at: Instant,
     revision: Option<Revision>,
-    asking: bool,
+    /// When the call in progress was sent.
+    asked_at: Option<Instant>,
     /// Calls without an answer since the last confirmation.
     failures: u32,
     /// No call starts before.
@@ -89,7 +92,7 @@
             apply_time,
             confirmed_at: now,
             revision: None,
-            asking: false,
+            asked_at: None,
             failures: 0,
             not_before: now,
             jitter: 0.0,
@@ -106,16 +109,16 @@
 
     /// Whether a node of some role may have to ask the platform.
     pub fn may_be_due(&self, now: Instant) -> bool {
-        !self.asking && self.age(now) >= self.interval(Role::Watcher)
+        !self.is_asking(now) && self.age(now) >= self.interval(Role::Watcher)
     }
 
     /// Decides whether to ask the platform. The call counts as in progress until
     /// [`Freshness::record_answer`] or [`Freshness::record_failure`].
     pub fn next_step(&mut self, role: Role, now: Instant) -> FreshnessStep {
-        if self.asking || now < self.not_before || self.age(now) < self.interval(role) {
+        if self.is_asking(now) || now < self.not_before || self.age(now) < self.interval(role) {
             return FreshnessStep::Wait;
         }
-        self.asking = true;
+        self.asked_at = Some(now);
         FreshnessStep::Ask(self.revision)
     }
 
@@ -129,7 +132,7 @@
         asked_at: Instant,
         now: Instant,
     ) -> Option<Confirmation> {
-        self.asking = false;
+        self.asked_at = None;
         let newer = self.is_newer(asked_at);
         self.confirm(asked_at, revision);
         let age = self.age(now);
@@ -143,7 +146,7 @@
     /// Records that the platform did not answer a call, or no longer has the history since the
     /// revision of the call (`compacted`).
     pub fn record_failure(&mut self, compacted: bool, role: Role, now: Instant) {
-        self.asking = false;
+        self.asked_at = None;
         if compacted {
             self.revision = None;
             return;
@@ -198,6 +201,10 @@
             .unwrap_or(self.confirmed_at);
     }
 
+    fn is_asking(&self, now: Instant) -> bool {
+        self.asked_at.is_some_and(|at| now - at < CALL_LOST_AFTER)
+    }
+
     fn is_newer(&self, as_of: Instant) -> bool {
         let step = self.apply_time.mul_f64(WATCHER_SHARE * NEWER_SHARE);
         as_of >= self.confirmed_at + step
--- a/tests/test_freshness.rs
+++ b/tests/test_freshness.rs
@@ -168,3 +168,20 @@
     node.record_pause(Duration::from_secs(5));
     assert_ne!(node.next_step(Role::Follower, now), FreshnessStep::Wait);
 }
+
+/// Guards against a node that never asks again because one of its calls ended without a result.
+#[test]
+fn a_call_without_a_result_is_followed_by_another() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let mut node = node(1, now - APPLY_TIME);
+    assert_ne!(node.next_step(Role::Follower, now), FreshnessStep::Wait);
+    let after = |seconds| now + Duration::from_secs(seconds);
+    assert_eq!(
+        node.next_step(Role::Follower, after(9)),
+        FreshnessStep::Wait
+    );
+    assert_ne!(
+        node.next_step(Role::Follower, after(11)),
+        FreshnessStep::Wait
+    );
+}
