--- a/src/experiment/convergence.rs
+++ b/src/experiment/convergence.rs
@@ -15,7 +15,9 @@
 use crate::state::snapshot::{Edit, Snapshot};
 
 /// Kinds of control traffic that are counted.
-const CONTROL_KINDS: [&str; 6] = ["announce", "delta", "snapshot", "probe", "member", "repair"];
+const CONTROL_KINDS: [&str; 7] = [
+    "announce", "confirm", "delta", "snapshot", "probe", "member", "repair",
+];
 /// Time to wait after the initial configuration before measuring, and duration of the measurement
 /// of the idle fleet.
 const IDLE_PERIOD: Duration = Duration::from_secs(5);
--- a/src/protocol/datagram.rs
+++ b/src/protocol/datagram.rs
@@ -9,7 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::key::{FleetKey, MAC_BYTES};
-use super::wire::{WireDelta, WireError, WireMemberRecord, convert_all, convert_valid};
+use super::wire::{WireDelta, WireError, convert_all, convert_valid};
+use super::wire_member::WireMemberRecord;
 use crate::coordination::crash_table::{EndId, EndRecord};
 use crate::coordination::freshness::Confirmation;
 use crate::coordination::members::{Message, PeerSummary, RECORDS_PER_DATAGRAM};
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -15,3 +15,4 @@
 pub mod peer;
 pub mod record;
 pub mod wire;
+pub mod wire_member;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -6,10 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::wire::{
-    WireDelta, WireError, WireMemberRecord, WireSnapshot, convert_all, convert_valid,
-    is_peer_address,
-};
+use super::wire::{WireDelta, WireError, WireSnapshot, convert_all, convert_valid};
+use super::wire_member::{WireMemberRecord, is_peer_address};
 use crate::coordination::claims::{ClaimOutcome, KeyHash, KeyOperation, KeyState};
 use crate::coordination::distribution::PullReply;
 use crate::coordination::gate::VoidOutcome;
--- a/src/protocol/record.rs
+++ b/src/protocol/record.rs
@@ -7,7 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::wire::{WireEdit, WireEntry, WireError, convert_all, is_peer_address};
+use super::wire::{WireEdit, WireEntry, WireError, convert_all};
+use super::wire_member::is_peer_address;
 use crate::coordination::claims::{ClaimTable, KeyEntry, KeyHash, KeyState};
 use crate::coordination::commit::{ChangeRecord, Head};
 use crate::state::digest::Digest;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -11,4 +11,5 @@
 pub mod link;
 pub mod pipeline;
 pub mod platform;
+mod request_head;
 pub mod stall;
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -18,14 +18,15 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
 use gotham::helpers::http::Body;
-use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE};
+use http::header::HeaderValue;
 use http::{HeaderMap, Request, Response};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use super::request_head::{BodyLength, body_length, parse_head};
 use crate::protocol::headers::WAITED_HEADER;
 
 /// Maximum number of bytes read ahead while a request is in progress.
@@ -33,8 +34,6 @@
 /// Maximum number of request heads that wait in the buffer of one connection. It also limits the
 /// number of requests that are started early.
 const QUEUED_HEADS_MAX: usize = 32;
-/// Maximum number of headers in a request that this module parses.
-const HEADERS_MAX: usize = 64;
 /// Shortest time that a request has waited behind others for which its service is told.
 const WAITED_MIN: Duration = Duration::from_millis(5);
 /// Size of the buffer for one read from the socket.
@@ -128,16 +127,6 @@
     }
 }
 
-/// Length of the body that follows a request head.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum BodyLength {
-    Empty,
-    /// Length in bytes.
-    Known(u64),
-    /// This module cannot determine the end of the body; only the HTTP library can.
-    Unknown,
-}
-
 /// A complete request head in the buffer.
 #[derive(Debug)]
 struct Head {
@@ -360,51 +349,6 @@
     }
 }
 
-/// Parses a complete head. Returns its length in bytes, and the request if this module can
-/// represent it; `None` if the head is not complete yet.
-fn parse_head(bytes: &[u8]) -> Option<(usize, Option<Request<Body>>)> {
-    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
-    let mut parsed = httparse::Request::new(&mut headers);
-    match parsed.parse(bytes) {
-        Ok(httparse::Status::Complete(length)) => Some((length, to_request(&parsed))),
-        Ok(httparse::Status::Partial) => None,
-        // Not HTTP: all bytes are passed to the library.
-        Err(_) => Some((bytes.len(), None)),
-    }
-}
-
-fn to_request(parsed: &httparse::Request<'_, '_>) -> Option<Request<Body>> {
-    if parsed.version != Some(1) {
-        return None;
-    }
-    let mut request = Request::new(Body::default());
-    *request.method_mut() = parsed.method?.parse().ok()?;
-    *request.uri_mut() = parsed.path?.parse().ok()?;
-    for header in parsed.headers.iter() {
-        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
-        let value = HeaderValue::from_maybe_shared(Bytes::copy_from_slice(header.value)).ok()?;
-        request.headers_mut().append(name, value);
-    }
-    Some(request)
-}
-
-fn body_length(request: &Request<Body>) -> BodyLength {
-    let headers = request.headers();
-    if headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(UPGRADE) {
-        return BodyLength::Unknown;
-    }
-    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-    match (lengths.next(), lengths.next()) {
-        (None, _) => BodyLength::Empty,
-        (Some(only), None) => match only.to_str().ok().and_then(|t| t.parse().ok()) {
-            Some(0) => BodyLength::Empty,
-            Some(length) => BodyLength::Known(length),
-            None => BodyLength::Unknown,
-        },
-        (Some(_), Some(_)) => BodyLength::Unknown,
-    }
-}
-
 impl<S, F> AsyncRead for LookaheadStream<S, F>
 where
     S: AsyncRead + Unpin,
--- a/tests/test_protocol.rs
+++ b/tests/test_protocol.rs
@@ -24,7 +24,8 @@
 use tarragoncourse::protocol::key::FleetKey;
 use tarragoncourse::protocol::peer::{PeerReply, PeerRequest};
 use tarragoncourse::protocol::record::decode_index;
-use tarragoncourse::protocol::wire::{WireError, WireMemberRecord, WireObject, WireSnapshot};
+use tarragoncourse::protocol::wire::{WireError, WireObject, WireSnapshot};
+use tarragoncourse::protocol::wire_member::WireMemberRecord;
 use tarragoncourse::state::id::{AttemptId, Incarnation, Path, Version};
 use tarragoncourse::state::member::{Health, MemberRecord, TargetRecord};
 use tarragoncourse::state::object::{
