Let no node ask for news that has just started or waits for changes itself

Such a node has just read the newest version, and while no holder is known it waits for changes itself.

Change: holders of slots ask as watchers; others only 3 s after their start, and not while they watch the document themselves.

--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -17,6 +18,9 @@
 use crate::state::revision::Revision;
 use crate::transport::platform::{Platform, PlatformError, PlatformResult};
 
+/// Time after the start within which the slots' holders and their confirmations become known.
+const START_TIME: Duration = Duration::from_secs(3);
+
 /// What a call to the platform found.
 struct Newest {
     version: Version,
@@ -79,21 +83,19 @@
         }
     }
 
-    /// Whether this node asks the platform as a watcher; `None` if it has no need to ask, because all
-    /// nodes of the fleet wait for changes in the platform.
+    /// Who this node is when it asks the platform; `None` if it has no need to ask.
     fn freshness_role(&self) -> Option<Role> {
         if P::EXTERNAL_CONFIG && all_nodes_watch(self.members_alive()) {
             return None;
         }
-        let watches = match P::EXTERNAL_CONFIG {
-            true => self.should_watch_document(),
-            false => self.holds_slot(),
-        };
-        Some(if watches {
-            Role::Watcher
-        } else {
-            Role::Follower
-        })
+        if self.holds_slot() {
+            return Some(Role::Watcher);
+        }
+        // A node that waits for changes itself hears of them first, and one that has just started has
+        // read the newest version. Else all nodes of a fleet that starts would ask.
+        let is_waiting = P::EXTERNAL_CONFIG && self.should_watch_document();
+        let has_just_started = self.started.elapsed() < START_TIME;
+        (!is_waiting && !has_just_started).then_some(Role::Follower)
     }
 
     async fn ask_platform(self: Arc<Self>, role: Role, revision: Option<Revision>) {
@@ -132,11 +134,7 @@
             return self.read_newest_head().await;
         }
         let update = match revision {
-            Some(after) => {
-                self.platform
-                    .watch_document(after, Default::default())
-                    .await?
-            }
+            Some(after) => self.platform.watch_document(after, Duration::ZERO).await?,
             None => self.read_document().await?,
         };
         if let Some(document) = &update.document {
