Separate the repeat of a lost claim from the repeat of a lost outcome

Known red: a_key_whose_claim_the_platform_has_lost_does_not_run_again got 409 in place of a repeated answer or 503.

Cause: the test, which had two cases in one. The outcome of a keyed request is written up to 250 ms after the caller's answer (COMPLETION_WAIT_MAX). If the platform comes back before that, the restored claim says that the first request may have run, and 409 with "unknown; key-in-doubt" is the true answer (docs/OPERATIONS.md).

Change: the old test waits until the outcome is stored, and asserts as before that each repeat gets the answer again or 503. A second test has the platform come back at once: 409 is allowed only with its outcome and only until the first repeated answer.

--- a/tests/test_requests.rs
+++ b/tests/test_requests.rs
@@ -5,9 +5,9 @@
 mod support;
 
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use support::{Fleet, http_request, load_route, send_raw, spawn_load, wait_until};
+use support::{Fleet, HttpResponse, http_request, load_route, send_raw, spawn_load, wait_until};
 use tarragoncourse::load::{CallerResult, LoadReport};
 
 /// Index in [`request_mix`] of the route whose requests may run more than once.
@@ -300,10 +300,10 @@
     assert_eq!(runs.get("k3"), None);
 }
 
-/// The platform comes back from a copy that lacks the claim, and the caller repeats the request.
-#[test]
-fn a_key_whose_claim_the_platform_has_lost_does_not_run_again() {
-    let fleet = Fleet::start("lost-claim", 2, 2, "{\"service_ms\": 2}");
+/// Sends a keyed request whose claim the platform loses, and repeats it while the claim is restored.
+/// Returns how long after the first answer each repeat was sent, and its answer.
+fn repeat_after_a_lost_claim(name: &str, wait_for_outcome: bool) -> Vec<(Duration, HttpResponse)> {
+    let fleet = Fleet::start(name, 2, 2, "{\"service_ms\": 2}");
     let send = |entry: usize| {
         let headers = [("idempotency-key", "k1"), ("x-request-id", "k1")];
         let to = fleet.entry_nodes[entry].callers;
@@ -312,20 +312,51 @@
     };
     fleet.command_platform("/copy");
     assert_eq!(send(0).status, 200);
+    let answered_at = Instant::now();
+    if wait_for_outcome {
+        wait_until("the outcome is stored", || {
+            send(1).header("tarragon-replayed").is_some()
+        });
+    }
     fleet.command_platform("/come-back");
+    let mut repeats = Vec::new();
     for entry in [1, 0, 1, 0, 1, 0] {
-        let repeated = send(entry);
-        assert!(
-            repeated.header("tarragon-replayed").is_some() || repeated.status == 503,
-            "{}",
-            repeated.status
-        );
+        repeats.push((answered_at.elapsed(), send(entry)));
         sleep_ms(100);
     }
     wait_until("the outcome is stored again", || {
         send(1).header("tarragon-replayed").is_some()
     });
     assert_eq!(fleet.run_counts().get("k1"), Some(&1));
+    repeats
+}
+
+/// Whether a repeat got the first answer again, or was told to come back.
+fn is_replayed_or_refused(repeated: &HttpResponse) -> bool {
+    repeated.header("tarragon-replayed").is_some() || repeated.status == 503
+}
+
+/// The platform comes back from a copy that lacks the claim, and the caller repeats the request.
+#[test]
+fn a_key_whose_claim_the_platform_has_lost_does_not_run_again() {
+    for (after, repeated) in repeat_after_a_lost_claim("lost-claim", true) {
+        let status = repeated.status;
+        assert!(is_replayed_or_refused(&repeated), "{status} {after:?}");
+    }
+}
+
+/// The same when the platform comes back before the outcome is stored. Until it is, a restored claim
+/// does not tell whether the first request has been answered.
+#[test]
+fn a_key_whose_outcome_is_not_yet_stored_is_in_doubt_until_it_is() {
+    let mut replayed = false;
+    for (after, repeated) in repeat_after_a_lost_claim("lost-outcome", false) {
+        let outcome = repeated.header("tarragon-outcome").unwrap_or_default();
+        println!("{after:?} {} {outcome}", repeated.status);
+        let in_doubt = repeated.status == 409 && outcome == "unknown; key-in-doubt";
+        assert!(is_replayed_or_refused(&repeated) || in_doubt && !replayed);
+        replayed |= repeated.header("tarragon-replayed").is_some();
+    }
 }
 
 #[test]
