Cut a connection off at its next read after too many interim responses

Known red: a_head_without_end_is_cut_off_and_answered_as_unknown, "interim answers without end: 65,681,100 bytes" read from a target before the connection was closed; 8 MiB are allowed.

Cause: the HTTP library skips interim responses inside one loop of the connection's task. The 17th one woke the task that waits for the response, which then dropped the request; until that task ran, the loop went on, up to 128 reads a turn, and as many turns as the other task had to wait for a busy processor. The smaller read buffer made a turn shorter but did not bound the number of turns.

Change: the counter of interim responses cuts the connection itself, from within the loop: its next read fails. What is then read depends on no other task. The waiting task gets the error from the connection as before, outcome unknown; the separate wake-up is gone.

--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -3,7 +3,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -16,7 +15,8 @@
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use tokio::sync::Notify;
+
+use super::cut::{CutConnector, cut_off};
 
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -31,8 +31,7 @@
 /// Maximum number of idle connections in the pool for each address.
 const IDLE_CONNECTIONS_MAX: usize = 64;
 
-/// Largest read from a connection, which also limits the size of a response's head. A turn of the
-/// connection's task reads up to 128 times before the count of interim responses is looked at.
+/// Largest read from a connection, which also limits the size of a response's head.
 const READ_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum number of interim responses (1xx) to one request.
 const INTERIM_RESPONSES_MAX: usize = 16;
@@ -60,24 +59,30 @@
     }
 }
 
-/// Counts the interim responses (1xx) to one request. The HTTP library skips them without a limit.
-#[derive(Debug, Default)]
+/// Counts the interim responses (1xx) to one request, and cuts off the connection once there are too many.
 struct InterimCounter {
     count: AtomicUsize,
-    too_many: Notify,
+    connection: CaptureConnection,
 }
 
 impl InterimCounter {
+    fn new(connection: &ConnectionHandle) -> InterimCounter {
+        InterimCounter {
+            count: AtomicUsize::new(0),
+            connection: connection.0.clone(),
+        }
+    }
+
     fn count(&self) {
         if self.count.fetch_add(1, Ordering::Relaxed) == INTERIM_RESPONSES_MAX {
-            self.too_many.notify_one();
+            cut_off(&self.connection);
         }
     }
 }
 
 /// A pooled HTTP/1.1 client.
 #[derive(Clone, Debug)]
-pub struct HttpClient(Client<HttpConnector, Body>);
+pub struct HttpClient(Client<CutConnector, Body>);
 
 impl Default for HttpClient {
     fn default() -> Self {
@@ -117,7 +122,7 @@
             .pool_idle_timeout(idle_timeout)
             .pool_max_idle_per_host(idle_max)
             .http1_max_buf_size(READ_BUFFER_BYTES)
-            .build(connector);
+            .build(CutConnector(connector));
         HttpClient(client)
     }
 
@@ -159,14 +164,9 @@
         mut request: Request<Body>,
     ) -> (Result<Response<Body>, SendError>, ConnectionHandle) {
         let connection = ConnectionHandle(capture_connection(&mut request));
-        let interim = Arc::new(InterimCounter::default());
-        let counter = interim.clone();
-        hyper::ext::on_informational(&mut request, move |_| counter.count());
-        let result = tokio::select! {
-            result = self.exchange(to, request) => result,
-            // Dropping the exchange closes the connection.
-            () = interim.too_many.notified() => Err(SendError::Broken),
-        };
+        let interim = InterimCounter::new(&connection);
+        hyper::ext::on_informational(&mut request, move |_| interim.count());
+        let result = self.exchange(to, request).await;
         (result, connection)
     }
 
--- /dev/null
+++ b/src/transport/cut.rs
@@ -0,0 +1,118 @@
+//! Connections of the HTTP client that can be cut off while their task reads.
+//!
+//! The HTTP library reads in a loop until it has the head of a response, and skips interim responses
+//! (1xx) without a limit. Dropping the request ends the connection only after that loop has yielded,
+//! which takes as many reads as the runtime allows in a turn. A cut takes effect at the next read.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use http::Extensions;
+use hyper::Uri;
+use hyper_util::client::legacy::connect::{
+    CaptureConnection, Connected, Connection, HttpConnector,
+};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tower_service::Service;
+
+/// Cuts off one connection.
+#[derive(Clone, Debug, Default)]
+struct CutHandle(Arc<AtomicBool>);
+
+/// Cuts off a captured connection: nothing more is read from it.
+pub fn cut_off(connection: &CaptureConnection) {
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        let mut extras = Extensions::new();
+        connected.get_extras(&mut extras);
+        if let Some(CutHandle(cut)) = extras.get() {
+            cut.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Opens connections that can be cut off.
+#[derive(Clone, Debug)]
+pub struct CutConnector(pub HttpConnector);
+
+impl Service<Uri> for CutConnector {
+    type Response = TokioIo<CutStream>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    // The library's interface names the type, and connections are seldom opened.
+    type Future =
+        Pin<Box<dyn Future<Output = Result<TokioIo<CutStream>, Self::Error>> + Send + 'static>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(cx)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let connecting = self.0.call(uri);
+        Box::pin(async move {
+            let inner = connecting.await?.into_inner();
+            let cut = CutHandle::default();
+            Ok(TokioIo::new(CutStream { inner, cut }))
+        })
+    }
+}
+
+/// A connection that fails to read once it is cut off.
+#[derive(Debug)]
+pub struct CutStream {
+    inner: TcpStream,
+    cut: CutHandle,
+}
+
+impl Connection for CutStream {
+    fn connected(&self) -> Connected {
+        self.inner.connected().extra(self.cut.clone())
+    }
+}
+
+impl AsyncRead for CutStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.cut.0.load(Ordering::Relaxed) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CutStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
