Watch the document from where it was known last

Cause: a node that begins to watch the document, because its zone has lost its watchers or was not known to have any two seconds after the start, began with a read of the whole document, then a watch that does not wait, then one that waits: three priced calls, and for all nodes of a zone at one moment. The first two are not needed: since the confirmations, each node knows a revision as of which the version in force was the newest.

Change: a node that does not watch keeps that revision, and begins with the watch that waits. If the store no longer has that history or is of a later era, it reads the document as before.

--- a/src/coordination/freshness.rs
+++ b/src/coordination/freshness.rs
@@ -118,6 +118,12 @@
         now.saturating_duration_since(self.confirmed_at)
     }
 
+    /// Revision of the platform's store as of which no version was newer than the one in force, if it is
+    /// known.
+    pub fn revision(&self) -> Option<Revision> {
+        self.revision
+    }
+
     /// Whether a node of some role may have to ask the platform.
     pub fn may_be_due(&self, now: Instant) -> bool {
         !self.is_asking(now) && self.age(now) >= self.interval(Role::Watcher)
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -184,7 +184,9 @@
         let mut wait = DOCUMENT_WATCH_TIMEOUT;
         loop {
             if !self.should_watch_document() {
-                revision = None;
+                // Watches later from where the document was known last, without reading it again.
+                revision = lock(&self.freshness).revision();
+                wait = DOCUMENT_WATCH_TIMEOUT;
                 tokio::time::sleep(SLOT_CHECK_INTERVAL).await;
                 continue;
             }
