Answer requests that were started early before a stop closes their connection

The answer to the first closed the connection, although the others had been passed on to targets and ran there.

Cause: the shutdown of a connection looked only at the request in progress. The next response got `connection: close`, the HTTP library closed after it, and the early runs behind it were cancelled.

Change: a connection that begins its shutdown starts no further request early, and is closed only once none of those that were started stands behind the one in progress. What had not been started is not read, as before, so the caller may send it again.

Evidence: requests_that_were_started_early_are_answered_before_a_stop_closes_the_connection fails without the new condition ("the connection was closed" after the first answer) and without the end of early starts (the fourth request starts); with both the three are answered and the connection ends. test_pipeline, test_keep_alive and test_leave pass.

--- a/src/transport/graceful.rs
+++ b/src/transport/graceful.rs
@@ -3,7 +3,8 @@
 //! The HTTP library closes a connection without a request in progress at once when it is told to
 //! shut down, also if the caller has sent a request that has not been read yet. Such connections
 //! therefore stay open for [`IDLE_CLOSE_DELAY`] after the shutdown has begun; a request that arrives
-//! meanwhile is answered, with `connection: close`.
+//! meanwhile is answered, with `connection: close`. Pipelined requests that were started early are all
+//! answered before; those behind them have not been started.
 
 use std::future::poll_fn;
 use std::pin::{Pin, pin};
@@ -80,9 +81,11 @@
         // An error means that the listener has ended, which is a shutdown as well.
         _ = shutdown.0.wait_for(|begun| *begun) => {}
     }
+    pipeline.close();
     let mut delay: Pin<&mut Sleep> = pin!(tokio::time::sleep(IDLE_CLOSE_DELAY));
     let ended = poll_fn(|cx| match connection.as_mut().poll(cx) {
         Poll::Ready(ended) => Poll::Ready(Some(ended)),
+        Poll::Pending if pipeline.has_started_behind() => Poll::Pending,
         Poll::Pending if pipeline.is_busy() => Poll::Ready(None),
         Poll::Pending => delay.as_mut().poll(cx).map(|()| None),
     });
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -13,7 +13,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -72,6 +72,10 @@
     current: Mutex<Option<EarlyRequest>>,
     /// When that request had arrived.
     arrived_at: Mutex<Option<Instant>>,
+    /// Number of requests behind the current one that were started early.
+    started_behind: AtomicUsize,
+    /// Whether no further request starts early, because the connection is about to be closed.
+    closing: AtomicBool,
 }
 
 impl PipelineState {
@@ -85,6 +89,17 @@
         self.busy.load(Ordering::Acquire)
     }
 
+    /// Whether requests behind the current one were started early, whose responses are still to come.
+    pub fn has_started_behind(&self) -> bool {
+        self.started_behind.load(Ordering::Acquire) > 0
+    }
+
+    /// Starts no further request early. The connection may be closed once those that were started have
+    /// been answered.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Release);
+    }
+
     /// Records that the response to the current request is ready, so that the next request may be
     /// passed to the HTTP library.
     pub fn finish(&self) {
@@ -98,6 +113,9 @@
     }
 
     fn begin(&self, early: Option<EarlyRequest>, arrived_at: Instant) {
+        if early.is_some() {
+            self.started_behind.fetch_sub(1, Ordering::AcqRel);
+        }
         *self.lock_current() = early;
         *self.arrived_at.lock().unwrap_or_else(|e| e.into_inner()) = Some(arrived_at);
         self.busy.store(true, Ordering::Release);
@@ -226,9 +244,8 @@
             let must_wait = self.state.is_busy() || !self.heads.is_empty();
             let arrived_at = self.arrival(self.scanned_bytes + length);
             let early = match request {
-                Some(mut request) if must_wait && body == BodyLength::Empty => {
-                    set_waited(request.headers_mut(), Some(arrived_at));
-                    (self.start_early)(request)
+                Some(request) if must_wait && body == BodyLength::Empty => {
+                    self.try_start_early(request, arrived_at)
                 }
                 _ => None,
             };
@@ -242,6 +259,21 @@
         }
     }
 
+    /// Starts a request that waits behind another one, unless it must not start early.
+    fn try_start_early(
+        &mut self,
+        mut request: Request<Body>,
+        arrived_at: Instant,
+    ) -> Option<EarlyRequest> {
+        if self.state.closing.load(Ordering::Acquire) {
+            return None;
+        }
+        set_waited(request.headers_mut(), Some(arrived_at));
+        let early = (self.start_early)(request)?;
+        self.state.started_behind.fetch_add(1, Ordering::AcqRel);
+        Some(early)
+    }
+
     /// When the first `length` bytes of the buffer had arrived.
     fn arrival(&self, length: usize) -> Instant {
         let end = self.passed_bytes + length as u64;
@@ -268,6 +300,7 @@
     fn enter_pass_through(&mut self) {
         self.mode = Mode::PassThrough;
         self.heads.clear();
+        self.state.started_behind.store(0, Ordering::Release);
         self.scanned_bytes = 0;
         self.head_remaining = 0;
     }
--- a/tests/test_pipeline.rs
+++ b/tests/test_pipeline.rs
@@ -225,3 +225,38 @@
     assert!((190..400).contains(&waited[1]), "{waited:?}");
     assert!((390..800).contains(&waited[2]), "{waited:?}");
 }
+
+/// Guards against a planned stop that drops requests which run already, because they stand behind the
+/// one whose response closes the connection.
+#[tokio::test]
+async fn requests_that_were_started_early_are_answered_before_a_stop_closes_the_connection() {
+    let (endpoint, address, stop) = start_server().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let requests = [get("/a/300"), get("/b/400"), get("/c/0")].concat();
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    while endpoint.running.load(Ordering::SeqCst) + endpoint.completed.load(Ordering::SeqCst) < 3 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    stop.send_replace(true);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // Not started any more while those before it are in progress.
+    stream.write_all(get("/d/0").as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(
+        !endpoint
+            .events
+            .lock()
+            .unwrap()
+            .contains(&"start /d/0".to_string())
+    );
+    assert_eq!(
+        read_bodies(&mut stream, 3).await,
+        ["/a/300+0", "/b/400+0", "/c/0+0"]
+    );
+    // The connection ends, and whatever runs until then is answered.
+    let mut rest = Vec::new();
+    let end = tokio::time::timeout(Duration::from_secs(1), stream.read_to_end(&mut rest));
+    end.await.expect("the connection ends").unwrap();
+    let answered = 3 + u32::from(String::from_utf8_lossy(&rest).contains("/d/0+0;"));
+    assert_eq!(endpoint.completed.load(Ordering::SeqCst), answered);
+}
