Open connections that can be cut off without a boxed future

The future is now that of the library's connector, mapped, and the types are the layer's own. One comment reads plainer.

--- a/src/coordination/freshness.rs
+++ b/src/coordination/freshness.rs
@@ -8,7 +8,7 @@
 //!
 //! The load pattern is the loss of all watchers at one moment. The first node to ask saves the
 //! others the call, and goes on asking before they do, so the number of calls depends on the intervals
-//! and not on the fleet, except while nobody gets an answer. The intervals between unanswered calls
+//! and not on the fleet, except while no node gets an answer. The intervals between unanswered calls
 //! therefore grow.
 
 use std::time::Duration;
--- a/src/transport/cut.rs
+++ b/src/transport/cut.rs
@@ -4,13 +4,14 @@
 //! (1xx) without a limit. Dropping the request ends the connection only after that loop has yielded,
 //! which takes as many reads as the runtime allows in a turn. A cut takes effect at the next read.
 
-use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
+use futures_util::TryFutureExt;
+use futures_util::future::MapOk;
 use http::Extensions;
 use hyper::Uri;
 use hyper_util::client::legacy::connect::{
@@ -26,7 +27,7 @@
 struct CutHandle(Arc<AtomicBool>);
 
 /// Cuts off a captured connection: nothing more is read from it.
-pub fn cut_off(connection: &CaptureConnection) {
+pub(super) fn cut_off(connection: &CaptureConnection) {
     if let Some(connected) = connection.connection_metadata().as_ref() {
         let mut extras = Extensions::new();
         connected.get_extras(&mut extras);
@@ -38,36 +39,41 @@
 
 /// Opens connections that can be cut off.
 #[derive(Clone, Debug)]
-pub struct CutConnector(pub HttpConnector);
+pub(super) struct CutConnector(pub HttpConnector);
 
 impl Service<Uri> for CutConnector {
     type Response = TokioIo<CutStream>;
     type Error = <HttpConnector as Service<Uri>>::Error;
-    // The library's interface names the type, and connections are seldom opened.
-    type Future =
-        Pin<Box<dyn Future<Output = Result<TokioIo<CutStream>, Self::Error>> + Send + 'static>>;
+    type Future = MapOk<
+        <HttpConnector as Service<Uri>>::Future,
+        fn(TokioIo<TcpStream>) -> TokioIo<CutStream>,
+    >;
 
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
         self.0.poll_ready(cx)
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
-        let connecting = self.0.call(uri);
-        Box::pin(async move {
-            let inner = connecting.await?.into_inner();
-            let cut = CutHandle::default();
-            Ok(TokioIo::new(CutStream { inner, cut }))
-        })
+        self.0.call(uri).map_ok(CutStream::wrap)
     }
 }
 
 /// A connection that fails to read once it is cut off.
 #[derive(Debug)]
-pub struct CutStream {
+pub(super) struct CutStream {
     inner: TcpStream,
     cut: CutHandle,
 }
 
+impl CutStream {
+    fn wrap(stream: TokioIo<TcpStream>) -> TokioIo<CutStream> {
+        TokioIo::new(CutStream {
+            inner: stream.into_inner(),
+            cut: CutHandle::default(),
+        })
+    }
+}
+
 impl Connection for CutStream {
     fn connected(&self) -> Connected {
         self.inner.connected().extra(self.cut.clone())
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,7 +4,7 @@
 pub mod client;
 pub mod clock;
 pub mod counted;
-pub mod cut;
+mod cut;
 pub mod era;
 pub mod graceful;
 pub mod http;
