Review: a version that was rolled back gets requests again under the next order

Cause: nodes hold one directive for each service, and take every version but the ordered one for the old.

--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -5,6 +5,7 @@
 mod leave;
 mod mesh;
 mod pipeline;
+mod rollout;
 
 use std::panic::catch_unwind;
 use std::process::exit;
@@ -32,6 +33,7 @@
         "chunked" => chunked::run(trouble, &record),
         "leave" => leave::run(trouble, &record),
         "pipeline" => pipeline::run(trouble, &record),
+        "rollout" => rollout::run(trouble, &record),
         _ => None,
     });
     mesh::end_all();
--- a/review/rig-2/mesh.rs
+++ b/review/rig-2/mesh.rs
@@ -195,6 +195,12 @@
         self.changed.notify_all();
     }
 
+    /// Reads a value as the operator does.
+    pub fn get(&self, key: &str) -> Option<String> {
+        let s = self.state.lock().unwrap();
+        s.items.get(key).map(|i| from_base64(&i.value))
+    }
+
     fn expire(&self) {
         let mut s = self.state.lock().unwrap();
         let now = Instant::now();
@@ -428,6 +434,21 @@
     out
 }
 
+fn from_base64(text: &str) -> String {
+    const SET: &str = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut out = Vec::new();
+    let (mut bits, mut count) = (0u32, 0);
+    for digit in text.chars().filter_map(|c| SET.find(c)) {
+        bits = bits << 6 | digit as u32;
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            out.push((bits >> count) as u8);
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
 // ---- the operator's configuration ----
 
 /// A route of the configuration.
@@ -713,6 +734,10 @@
     pub machine: Machine,
     pub instance: String,
     pub born: u64,
+    /// Version of its software.
+    pub version: String,
+    /// Whether every second of its answers is a failure.
+    pub bad: bool,
     sequence: AtomicU64,
     pub beating: AtomicBool,
     pub runs: Mutex<Vec<Run>>,
@@ -742,10 +767,23 @@
 impl Backend {
     /// Starts the back end. The path `/PREFIX/WORK/...` says how many milliseconds a request takes.
     pub fn start(machine: &Machine, instance: &str, record: &Arc<Record>) -> Arc<Backend> {
+        Backend::start_version(machine, instance, "v1", false, record)
+    }
+
+    /// Starts a back end of a version, whose answers are good or bad.
+    pub fn start_version(
+        machine: &Machine,
+        instance: &str,
+        version: &str,
+        bad: bool,
+        record: &Arc<Record>,
+    ) -> Arc<Backend> {
         let backend = Arc::new(Backend {
             machine: machine.clone(),
             instance: instance.into(),
             born: unix_ms(),
+            version: version.into(),
+            bad,
             sequence: AtomicU64::new(0),
             beating: AtomicBool::new(true),
             runs: Mutex::default(),
@@ -778,9 +816,10 @@
     pub fn heartbeat(&self, state: &str) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"matamata\",\"version\":\"v1\",\"slots\":14,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"matamata\",\"version\":\"{}\",\"slots\":14,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
             self.machine.service,
             self.machine.app(),
+            self.version,
             self.born
         );
         self.post("Heartbeat", &body)
@@ -852,7 +891,7 @@
                 ));
                 return Ok(());
             }
-            let status = match self.make_call(&path, &id) {
+            let status = match self.make_call(&path, &id) && !(self.bad && index % 2 == 0) {
                 true => "200 OK",
                 false => "500 Internal Server Error",
             };
