Review: a service is refused after its nodes restart soon after a roll-out

Cause: nodes hold for 60 s that only the new version takes requests; a node that starts after the last directive publishes no version, and targets of unknown version are left out.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins of the scripts in review/6 and later. Needs the compiler only.
+# Builds the stand-ins of the scripts in review/6 to review/10. Needs the compiler only.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -5,6 +5,7 @@
 mod leave;
 mod mesh;
 mod pipeline;
+mod restart;
 mod rollout;
 
 use std::panic::catch_unwind;
@@ -33,6 +34,7 @@
         "chunked" => chunked::run(trouble, &record),
         "leave" => leave::run(trouble, &record),
         "pipeline" => pipeline::run(trouble, &record),
+        "restart" => restart::run(trouble, &record),
         "rollout" => rollout::run(trouble, &record),
         _ => None,
     });
--- a/review/rig-2/rollout.rs
+++ b/review/rig-2/rollout.rs
@@ -41,7 +41,7 @@
     }
 }
 
-fn order(mesh: &Mesh, version: &str, record: &Record) -> f64 {
+pub fn order(mesh: &Mesh, version: &str, record: &Record) -> f64 {
     let text = format!(
         "{{\"service\":\"{SERVICE}\",\"target_version\":\"{version}\",\"duration_s\":{DURATION}}}"
     );
@@ -51,7 +51,7 @@
 }
 
 /// Waits until the operator is told this. Returns when.
-fn wait_status(mesh: &Mesh, version: &str, state: &str, record: &Record) -> Option<f64> {
+pub fn wait_status(mesh: &Mesh, version: &str, state: &str, record: &Record) -> Option<f64> {
     let end = record.now() + DURATION + 10.0;
     while record.now() < end {
         let text = mesh.store.get(STATUS).unwrap_or_default();
