Review: a completed roll-out is rolled back after the store has come back from an older copy

Cause: the decision to move is only in the store; the copy has lost it, and the order is decided again with the old targets gone.

--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -34,8 +34,8 @@
         "chunked" => chunked::run(trouble, &record),
         "leave" => leave::run(trouble, &record),
         "pipeline" => pipeline::run(trouble, &record),
-        "restart" => restart::run(trouble, &record),
-        "rollout" => rollout::run(trouble, &record),
+        "drill" => restart::run_drill(trouble, &record),
+        "restart" => restart::run_restarts(trouble, &record),
         _ => None,
     });
     mesh::end_all();
--- a/review/rig-2/mesh.rs
+++ b/review/rig-2/mesh.rs
@@ -2,7 +2,7 @@
 //! with their liveness reports, requesters, and the nodes under test as separate processes.
 //! Standard library only.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
@@ -146,7 +146,7 @@
     lease: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct StoreState {
     revision: u64,
     items: BTreeMap<String, Item>,
@@ -160,13 +160,38 @@
 pub struct Store {
     state: Mutex<StoreState>,
     changed: Condvar,
+    /// Copies of the last seconds, the oldest first.
+    copies: Mutex<VecDeque<(Instant, StoreState)>>,
+    /// Whether the store is away: it ends all connections without an answer.
+    away: AtomicBool,
+    era: AtomicU64,
 }
 
+/// Interval between two copies, and how many are kept.
+const COPY_INTERVAL: Duration = Duration::from_millis(250);
+const COPIES: usize = 60;
+
 impl Store {
     pub fn start(addr: SocketAddr) -> Arc<Store> {
         let store = Arc::new(Store {
             state: Mutex::default(),
             changed: Condvar::new(),
+            copies: Mutex::default(),
+            away: AtomicBool::new(false),
+            era: AtomicU64::new(1),
+        });
+        let copying = store.clone();
+        thread::spawn(move || {
+            loop {
+                let copy = copying.state.lock().unwrap().clone();
+                let mut copies = copying.copies.lock().unwrap();
+                copies.push_back((Instant::now(), copy));
+                if copies.len() > COPIES {
+                    copies.pop_front();
+                }
+                drop(copies);
+                thread::sleep(COPY_INTERVAL);
+            }
         });
         store.state.lock().unwrap().revision = 100;
         let listener = TcpListener::bind(addr).expect("the store's address is free");
@@ -195,6 +220,44 @@
         self.changed.notify_all();
     }
 
+    /// Is away for a moment, and comes back from a copy of this age. What the operator has written since
+    /// is written again; what the nodes have written since is gone, leases too.
+    pub fn come_back_from_copy(&self, age: Duration, away: Duration) -> bool {
+        self.away.store(true, Ordering::SeqCst);
+        self.changed.notify_all();
+        let at = Instant::now() - age;
+        let found = self
+            .copies
+            .lock()
+            .unwrap()
+            .iter()
+            .rev()
+            .find(|(t, _)| *t <= at)
+            .cloned();
+        let Some((taken, mut copy)) = found else {
+            return false;
+        };
+        thread::sleep(away);
+        let mut s = self.state.lock().unwrap();
+        let shift = taken.elapsed();
+        copy.leases.values_mut().for_each(|(end, _)| *end += shift);
+        copy.next_lease = s.next_lease;
+        let newer: Vec<(String, String)> = s
+            .items
+            .iter()
+            .filter(|(k, i)| k.starts_with("op/") && i.revision > copy.revision)
+            .map(|(k, i)| (k.clone(), i.value.clone()))
+            .collect();
+        *s = copy;
+        for (key, value) in newer {
+            s.revision += 1;
+            put_item(&mut s, &key, value, 0);
+        }
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.away.store(false, Ordering::SeqCst);
+        true
+    }
+
     /// Reads a value as the operator does.
     pub fn get(&self, key: &str) -> Option<String> {
         let s = self.state.lock().unwrap();
@@ -222,13 +285,20 @@
         let mut r = BufReader::new(stream);
         loop {
             let m = read_message(&mut r)?;
+            if self.away.load(Ordering::SeqCst) {
+                return Ok(());
+            }
             let mut words = m.first.split(' ');
             let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
             let (path, query) = target.split_once('?').unwrap_or((target, ""));
+            let era = self.era.load(Ordering::SeqCst);
             let (status, body) = self.answer(method, path, query, &m.body);
+            if self.era.load(Ordering::SeqCst) != era || self.away.load(Ordering::SeqCst) {
+                return Ok(());
+            }
             write!(
                 out,
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             )?;
         }
@@ -314,7 +384,13 @@
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, String) {
         let end = Instant::now() + wait;
         let mut s = self.state.lock().unwrap();
+        if after > s.revision {
+            return (410, "{}".into());
+        }
         loop {
+            if self.away.load(Ordering::SeqCst) {
+                return (503, "{}".into());
+            }
             let events: Vec<String> = s
                 .events
                 .iter()
@@ -533,10 +609,6 @@
     pub fn app(&self) -> SocketAddr {
         self.at(4)
     }
-    /// The first port of the internal range.
-    pub fn internal(&self) -> SocketAddr {
-        self.at(5)
-    }
 
     /// Fills in the deploy template, as DEPLOY.md says.
     pub fn settings(&self, store: SocketAddr) -> String {
@@ -661,10 +733,6 @@
             .is_none_or(|c| matches!(c.try_wait(), Ok(Some(_))))
     }
 
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(self.dir.join("log")).unwrap_or_default()
-    }
-
     pub fn is_ready(&self) -> bool {
         let request = format!(
             "GET /ready HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
@@ -736,8 +804,6 @@
     pub born: u64,
     /// Version of its software.
     pub version: String,
-    /// Whether every second of its answers is a failure.
-    pub bad: bool,
     sequence: AtomicU64,
     pub beating: AtomicBool,
     pub runs: Mutex<Vec<Run>>,
@@ -767,15 +833,14 @@
 impl Backend {
     /// Starts the back end. The path `/PREFIX/WORK/...` says how many milliseconds a request takes.
     pub fn start(machine: &Machine, instance: &str, record: &Arc<Record>) -> Arc<Backend> {
-        Backend::start_version(machine, instance, "v1", false, record)
+        Backend::start_version(machine, instance, "v1", record)
     }
 
-    /// Starts a back end of a version, whose answers are good or bad.
+    /// Starts a back end of a version.
     pub fn start_version(
         machine: &Machine,
         instance: &str,
         version: &str,
-        bad: bool,
         record: &Arc<Record>,
     ) -> Arc<Backend> {
         let backend = Arc::new(Backend {
@@ -783,7 +848,6 @@
             instance: instance.into(),
             born: unix_ms(),
             version: version.into(),
-            bad,
             sequence: AtomicU64::new(0),
             beating: AtomicBool::new(true),
             runs: Mutex::default(),
@@ -891,7 +955,7 @@
                 ));
                 return Ok(());
             }
-            let status = match self.make_call(&path, &id) && !(self.bad && index % 2 == 0) {
+            let status = match self.make_call(&path, &id) {
                 true => "200 OK",
                 false => "500 Internal Server Error",
             };
--- a/review/rig-2/restart.rs
+++ b/review/rig-2/restart.rs
@@ -8,7 +8,7 @@
 use crate::mesh::{
     Backend, Machine, Mesh, Node, Record, Route, call, config, ms, request, verdict,
 };
-use crate::rollout::{order, wait_status};
+use crate::rollout::{STATUS, order, wait_status};
 
 const SERVICE: &str = "huvo11a";
 const OTHER: &str = "lovo22d";
@@ -64,7 +64,28 @@
     node.wait_ready();
 }
 
-pub fn run(trouble: bool, record: &Arc<Record>) -> Option<i32> {
+/// What disrupts the mesh after the roll-out.
+#[derive(Clone, Copy, PartialEq)]
+enum Disruption {
+    /// The nodes of the service are stopped and started in turn.
+    Restarts,
+    /// The store comes back from an older copy.
+    Drill,
+}
+
+/// Age of that copy, and how long the store is away.
+const COPY_AGE_MS: u64 = 6000;
+const AWAY_MS: u64 = 300;
+
+pub fn run_restarts(trouble: bool, record: &Arc<Record>) -> Option<i32> {
+    run(trouble.then_some(Disruption::Restarts), record)
+}
+
+pub fn run_drill(trouble: bool, record: &Arc<Record>) -> Option<i32> {
+    run(trouble.then_some(Disruption::Drill), record)
+}
+
+fn run(disruption: Option<Disruption>, record: &Arc<Record>) -> Option<i32> {
     let name = |n: usize| format!("m{n}");
     let mut machines: Vec<Machine> = (1..=2).map(|n| Machine::new(&name(n), OTHER)).collect();
     machines.extend((3..=6).map(|n| Machine::new(&name(n), SERVICE)));
@@ -127,8 +148,7 @@
         .iter()
         .map(|m| Node::start(m, mesh.store_addr, record))
         .collect();
-    let start =
-        |m: &Machine| Backend::start_version(m, &format!("i-{}-v2", m.name), "v2", false, record);
+    let start = |m: &Machine| Backend::start_version(m, &format!("i-{}-v2", m.name), "v2", record);
     let _second_version: Vec<Arc<Backend>> = machines[4..].iter().map(start).collect();
     wait_status(&mesh, "v2", "completed", record)?;
     record.line("the servers of v1 stop, and their nodes get SIGTERM");
@@ -137,8 +157,19 @@
         backend.open.store(false, Ordering::SeqCst);
         node.signal("-TERM");
     }
+    if disruption == Some(Disruption::Drill) {
+        thread::sleep(ms(500));
+        record.line("the store is away");
+        if !mesh.store.come_back_from_copy(ms(COPY_AGE_MS), ms(AWAY_MS)) {
+            return None;
+        }
+        let status = mesh.store.get(STATUS).unwrap_or_default();
+        record.line(format!(
+            "the store is back from a copy; there the status is {status}"
+        ));
+    }
     thread::sleep(ms(9000));
-    if trouble {
+    if disruption == Some(Disruption::Restarts) {
         added.iter_mut().for_each(stop_and_start);
     }
     thread::sleep(ms(4000));
@@ -152,6 +183,10 @@
     thread::sleep(ms(COMPARED_MS));
     sending.store(false, Ordering::SeqCst);
     requesters.into_iter().for_each(|r| drop(r.join()));
+    record.line(format!(
+        "the operator reads {}",
+        mesh.store.get(STATUS).unwrap_or_default()
+    ));
     let [look, stock, order] = *counts.lock().unwrap();
     let first = Counts {
         sent: look.sent + stock.sent,
