Review: answers lost behind a 504 that comes at the deadline

Cause: the body of an answer without a length fails as soon as the deadline has passed; at the node's own gate that ends the caller's connection, and the answers behind it.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
     echo "run the build of deploy/system.toml and review/build-2.sh first"
     exit 2
 fi
-exec target/review-2/rig pipeline review/8/record.txt
+exec target/review-2/rig late review/8/record.txt
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -2,9 +2,9 @@
 //! and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod chunked;
+mod late;
 mod leave;
 mod mesh;
-mod pipeline;
 mod restart;
 mod rollout;
 
@@ -32,8 +32,8 @@
     });
     let code = catch_unwind(|| match case.as_str() {
         "chunked" => chunked::run(trouble, &record),
+        "late" => late::run(trouble, &record),
         "leave" => leave::run(trouble, &record),
-        "pipeline" => pipeline::run(trouble, &record),
         "drill" => restart::run_drill(trouble, &record),
         "restart" => restart::run_restarts(trouble, &record),
         _ => None,
--- a/review/rig-2/mesh.rs
+++ b/review/rig-2/mesh.rs
@@ -788,6 +788,9 @@
 
 // ---- back ends ----
 
+/// How much longer a slow back end takes.
+const SLOW_FACTOR: u64 = 4;
+
 /// What a back end has seen of one request.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -810,6 +813,8 @@
     pub open: AtomicBool,
     /// Whether the back end is leaving, which all its answers say.
     pub leaving: AtomicBool,
+    /// Whether the back end takes longer for its work.
+    pub slow: AtomicBool,
     /// The call that each request to this prefix makes, if any.
     pub nested: Mutex<Option<Nested>>,
     record: Arc<Record>,
@@ -853,6 +858,7 @@
             runs: Mutex::default(),
             open: AtomicBool::new(true),
             leaving: AtomicBool::new(false),
+            slow: AtomicBool::new(false),
             nested: Mutex::new(None),
             record: record.clone(),
         });
@@ -942,13 +948,34 @@
                 });
                 runs.len() - 1
             };
-            let budget = m.header("x-deadline-ms").unwrap_or("-");
+            let budget = m.header("x-deadline-ms").unwrap_or("-").to_string();
             self.record.line(format!(
                 "server {} runs {id} {path} (time left {budget} ms)",
                 self.instance
             ));
             read_body(&mut r, &mut m)?;
-            if self.work(r.get_ref(), ms(work)) {
+            // A server stops work at the time budget that it receives.
+            let budget_ms = budget.parse().unwrap_or(u64::MAX);
+            let factor = if self.slow.load(Ordering::SeqCst) {
+                SLOW_FACTOR
+            } else {
+                1
+            };
+            if work * factor > budget_ms {
+                // Its timers fire up to 3 ms late.
+                let late = Duration::from_micros(index as u64 * 370 % 3000);
+                if !self.work(r.get_ref(), ms(budget_ms) + late) {
+                    self.record
+                        .line(format!("server {} ends {id} with 504", self.instance));
+                    // An answer without a length ends with its connection.
+                    write!(
+                        out,
+                        "HTTP/1.1 504 Gateway Timeout\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: 3e1b.07.0\r\nConnection: close\r\n\r\ntime budget\n"
+                    )?;
+                }
+                return Ok(());
+            }
+            if self.work(r.get_ref(), ms(work * factor)) {
                 self.record.line(format!(
                     "server {} drops {id}: its connection has closed",
                     self.instance
