--- a/review/rig-2/mesh.rs
+++ b/review/rig-2/mesh.rs
@@ -574,14 +574,9 @@
         let n = COUNT.fetch_add(1, Ordering::SeqCst) as u8 + 1;
         let pid = std::process::id();
         let ip = Ipv4Addr::new(127, 64 + (pid >> 8 & 63) as u8, (pid & 255) as u8, n);
-        let port = |_| {
-            TcpListener::bind((ip, 0))
-                .unwrap()
-                .local_addr()
-                .unwrap()
-                .port()
-        };
-        let ports = std::array::from_fn(port);
+        // Held until all are chosen, so that they differ.
+        let held: [TcpListener; 6] = std::array::from_fn(|_| TcpListener::bind((ip, 0)).unwrap());
+        let ports = held.each_ref().map(|l| l.local_addr().unwrap().port());
         Machine {
             name: name.into(),
             ip,
@@ -751,6 +746,12 @@
             }
             thread::sleep(ms(50));
         }
+        let log = std::fs::read_to_string(self.dir.join("log")).unwrap_or_default();
+        self.record.line(format!(
+            "node {} is not ready; the end of its log:",
+            self.machine.name
+        ));
+        log.lines().rev().take(5).for_each(|l| self.record.line(l));
         false
     }
 }
