Keep the decision of a roll-out when the store comes back from an older copy

Cause: a decision stood only in the store and in the memory of the node that had decided, which dropped it with its lease. The next node took the order as it stood in the copy, found no answers to compare, and rolled it back. Evidence: the deciding node's lines (stored=comparing published=running, phase=stopped); a_completed_rollout_stays_completed_after_the_store_comes_back_from_an_older_copy failed before, with real nodes. Change: a directive says whether it announces a decision; each node remembers it, continues with it when it takes the order, and writes it and its end again. A directive that contradicts a decision is answered with the decision. Related paths: a roll-back (its directive could not be told from a pause), an order written again at another revision, an order read from a stale replica or the copy. Why it works: a decision is announced only after the store accepted it, so who follows it knows that it holds.

--- a/src/coordination/rollout/guide.rs
+++ b/src/coordination/rollout/guide.rs
@@ -30,6 +30,8 @@
     Accepted,
     /// The directive is known, or older than the one that is held.
     Outdated,
+    /// The directive is of a node that does not know what was decided about the roll-out.
+    Contradictory,
 }
 
 /// Targets to which a request under a roll-out may be sent.
@@ -91,7 +93,8 @@
         }
     }
 
-    /// Replaces the directive by a newer one. In one window, only a stop replaces a comparison.
+    /// Replaces the directive by a newer one. In one window, only a stop replaces a comparison. A
+    /// decision about a roll-out is never replaced by another one, or by none.
     pub fn receive(&mut self, directive: &Directive, now: Instant) -> Reception {
         let held = &self.directive;
         let compares = |d: &Directive| matches!(d.mode, Mode::Compare { .. });
@@ -99,6 +102,11 @@
         if directive.issued < held.issued || directive.issued == held.issued && !stops {
             return Reception::Outdated;
         }
+        let decision = held.mode.decision();
+        let is_contradictory = decision.is_some() && directive.mode.decision() != decision;
+        if directive.rollout == held.rollout && is_contradictory {
+            return Reception::Contradictory;
+        }
         *self = HeldDirective::new(directive.clone(), now);
         Reception::Accepted
     }
@@ -113,7 +121,7 @@
     pub fn is_retained(&self, now: Instant) -> bool {
         let retention = match self.directive.mode {
             Mode::NewOnly => NEW_ONLY_RETENTION,
-            Mode::OldOnly | Mode::Compare { .. } => OLD_ONLY_RETENTION,
+            Mode::OldOnly | Mode::Compare { .. } | Mode::Stopped => OLD_ONLY_RETENTION,
         };
         now < self.received + retention
     }
@@ -132,7 +140,7 @@
             {
                 Destination::Chosen(targets)
             }
-            Mode::Compare { .. } | Mode::OldOnly => Destination::Old,
+            Mode::Compare { .. } | Mode::OldOnly | Mode::Stopped => Destination::Old,
         }
     }
 
--- a/src/coordination/rollout/message.rs
+++ b/src/coordination/rollout/message.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display, From};
 use smallvec::SmallVec;
 
+use super::Phase;
 use super::counts::{AnswerCounts, RouteKey, Side, WindowNumber};
 use crate::state::digest::DigestBuilder;
 use crate::state::id::{Incarnation, Path};
@@ -64,7 +65,7 @@
 /// Which targets requests are sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Mode {
-    /// Only targets of the old version take requests.
+    /// Only targets of the old version take requests, until the next directive.
     OldOnly,
     /// A share of the requests goes to the chosen targets of the new version.
     Compare {
@@ -74,8 +75,22 @@
         /// Number of requests that each chosen target may start under this directive.
         allowance: u32,
     },
-    /// Only targets of the new version take requests. The others finish those that they run.
+    /// The version was rolled out: only its targets take requests. The others finish those that they
+    /// run.
     NewOnly,
+    /// The version was rolled back: only targets of the old version take requests.
+    Stopped,
+}
+
+impl Mode {
+    /// The decision that the mode announces. The store has accepted it before.
+    pub fn decision(&self) -> Option<Phase> {
+        match self {
+            Mode::NewOnly => Some(Phase::Moving),
+            Mode::Stopped => Some(Phase::Stopped),
+            Mode::OldOnly | Mode::Compare { .. } => None,
+        }
+    }
 }
 
 /// What the deciding node tells the others.
--- a/src/coordination/rollout/meter.rs
+++ b/src/coordination/rollout/meter.rs
@@ -121,7 +121,7 @@
         match (&self.held.directive().mode, self.side) {
             (Mode::NewOnly, side) => side == Side::New,
             (_, Side::Old) => true,
-            (Mode::OldOnly, Side::New) => false,
+            (Mode::OldOnly | Mode::Stopped, Side::New) => false,
             (
                 Mode::Compare {
                     targets, allowance, ..
--- a/src/coordination/rollout/mod.rs
+++ b/src/coordination/rollout/mod.rs
@@ -15,6 +15,7 @@
 pub mod exposure;
 pub mod guide;
 pub mod judge;
+pub mod memory;
 pub mod message;
 pub mod meter;
 
@@ -84,6 +85,13 @@
     Stopped,
 }
 
+impl Phase {
+    /// Whether the versions are no longer compared.
+    pub fn is_decided(self) -> bool {
+        self != Phase::Comparing
+    }
+}
+
 /// What is stored about a roll-out, for the node that decides next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoredRollout {
@@ -107,6 +115,15 @@
 }
 
 impl RolloutStatus {
+    /// The decision that the operator was told; `None` before the end.
+    pub fn decision(self) -> Option<Phase> {
+        match self {
+            RolloutStatus::Running => None,
+            RolloutStatus::Completed => Some(Phase::Moving),
+            RolloutStatus::RolledBack => Some(Phase::Stopped),
+        }
+    }
+
     /// Whether the roll-out has ended.
     pub fn is_end(self) -> bool {
         self != RolloutStatus::Running
@@ -158,6 +175,8 @@
     phase: Phase,
     /// What the store holds; `None` before the first write.
     stored: Option<StoredRollout>,
+    /// A decision that was announced, which the store may have lost.
+    announced: Option<Phase>,
     published: Option<RolloutStatus>,
     /// Window of the last write of the state.
     stored_in: WindowNumber,
@@ -187,6 +206,7 @@
             began: stored.map_or(now, |s| s.began),
             phase: stored.map_or(Phase::Comparing, |s| s.phase),
             stored,
+            announced: None,
             published,
             stored_in: now,
             reports: Collector::new(now),
@@ -199,6 +219,15 @@
         }
     }
 
+    /// Continues with a decision that was announced to the fleet. It holds also if the store has lost
+    /// it, and is then written again.
+    pub fn adopt_decision(&mut self, phase: Phase) {
+        if phase.is_decided() && self.announced.is_none() {
+            self.phase = phase;
+            self.announced = Some(phase);
+        }
+    }
+
     /// Adds the report of a gate.
     pub fn record_report(&mut self, gate: SocketAddr, report: &GateReport, since_epoch: Duration) {
         if report.rollout == self.order.id() {
@@ -292,17 +321,20 @@
     /// The directive for this window, if it was not sent yet.
     fn next_directive(&mut self, fleet: FleetView, now: WindowNumber) -> Option<Directive> {
         let last = self.last_directive.as_ref();
-        let moves = self.stored.is_some_and(|s| s.phase == Phase::Moving);
         let is_current = last.is_some_and(|d| d.issued == now);
+        let compares = last.is_some_and(|d| matches!(d.mode, Mode::Compare { .. }));
         let must_stop = self.phase == Phase::Stopped || fleet.authority != Authority::Held;
-        let mode = match last.map(|d| &d.mode) {
+        let mode = match self.announceable_decision() {
             // Nothing that was decided before stops a version that the store says is good.
-            _ if moves && !is_current => Mode::NewOnly,
-            _ if moves => return None,
-            Some(Mode::Compare { .. }) if must_stop => Mode::OldOnly,
-            _ if is_current => return None,
-            _ if must_stop || self.stored.is_none() || self.phase == Phase::Moving => Mode::OldOnly,
-            _ => {
+            Some(Phase::Moving) if !is_current => Mode::NewOnly,
+            Some(Phase::Stopped) if compares || !is_current => Mode::Stopped,
+            Some(_) => return None,
+            None if compares && must_stop => Mode::OldOnly,
+            None if is_current => return None,
+            None if must_stop || self.stored.is_none() || self.phase == Phase::Moving => {
+                Mode::OldOnly
+            }
+            None => {
                 let old_count = fleet.old_targets.len();
                 self.last_compared = now;
                 let end = self.began.0 + self.order.duration.as_secs() - self.reserve();
@@ -322,6 +354,12 @@
         Some(directive)
     }
 
+    /// The decision, if the store has accepted it or it was announced before.
+    fn announceable_decision(&self) -> Option<Phase> {
+        let stored = self.stored.map(|s| s.phase);
+        self.announced.or(stored.filter(|p| p.is_decided()))
+    }
+
     /// The next write. The state is stored before the operator is told, so that two nodes never
     /// tell different ends.
     fn next_write(&mut self, fleet: FleetView, now: WindowNumber) -> Option<RolloutWrite> {
@@ -342,6 +380,7 @@
         let status = self.reached_status(fleet, now);
         (self.published != Some(status)).then_some(RolloutWrite::Status(status))
     }
+
     /// What the operator may be told. `Completed` and `RolledBack` say that the targets of the other
     /// version get no more requests, so they wait until this is certain.
     fn reached_status(&self, fleet: FleetView, now: WindowNumber) -> RolloutStatus {
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -32,6 +32,8 @@
     pub address: SocketAddr,
     /// Service that it belongs to.
     pub service: Path,
+    /// Software version, if its node knows one.
+    pub version: Option<String>,
     stop: watch::Sender<bool>,
 }
 
@@ -87,6 +89,7 @@
             target,
             address,
             service: service.clone(),
+            version: version.map(str::to_string),
             stop,
         });
         Ok(())
@@ -127,7 +130,7 @@
             service: target.service.clone(),
             slots: target.target.slots(),
             announced: false,
-            version: None,
+            version: target.version.clone(),
         };
         let running = RunningNode::start(
             node_settings(index, Some(local_target)),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,7 +13,7 @@
 //! To avoid deadlocks, mutexes are locked in the order of the fields of [`Node`]: members,
 //! distribution, watcher_slot, freshness, announced_target, target_notices, gate, target_health, link_schedule, picker,
 //! peer_restarts, retry_budgets, pressure, quota, sender, pending_fetches, pauses,
-//! recent_refusals, deciders, rollouts. A lock is never held across an await.
+//! recent_refusals, deciders, rollouts, rollout_memory. A lock is never held across an await.
 
 mod api;
 mod attempt;
@@ -44,7 +44,7 @@
 mod target;
 mod watch;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -71,7 +71,7 @@
 use crate::coordination::refusals::RecentRefusals;
 use crate::coordination::restarts::PeerRestarts;
 use crate::coordination::retry::RetryBudgets;
-use crate::coordination::rollout::message::RolloutId;
+use crate::coordination::rollout::memory::RolloutMemory;
 use crate::coordination::target_end::BrokenAttempts;
 use crate::coordination::transfer::LinkSchedule;
 use crate::coordination::watcher_slot::WatcherSlot;
@@ -182,9 +182,8 @@
     recent_refusals: Mutex<RecentRefusals>,
     /// Roll-outs that this node decides.
     deciders: Mutex<BTreeMap<Path, Decider>>,
-    /// Roll-outs that were found finished.
-    finished_rollouts: Mutex<HashSet<RolloutId>>,
     rollouts: Mutex<Rollouts>,
+    rollout_memory: Mutex<RolloutMemory>,
     claim_queue: ClaimQueue,
     claim_memory: Mutex<ClaimMemory>,
     pull_permits: Semaphore,
@@ -264,8 +263,8 @@
             unpooled_client: HttpClient::unpooled(),
             recent_refusals: Mutex::default(),
             deciders: Mutex::default(),
-            finished_rollouts: Mutex::default(),
             rollouts: Mutex::default(),
+            rollout_memory: Mutex::default(),
             claim_queue,
             claim_memory: Mutex::default(),
             pull_permits: Semaphore::new(CONCURRENT_PULLS_MAX),
--- a/src/node/rollout.rs
+++ b/src/node/rollout.rs
@@ -13,6 +13,7 @@
 
 use super::{Node, lock, unix_millis};
 use crate::coordination::outcome::{NotRun, Outcome};
+use crate::coordination::rollout::Phase;
 use crate::coordination::rollout::counts::{RouteKey, Side, WindowNumber};
 use crate::coordination::rollout::guide::{HeldDirective, KnownSide, Reception};
 use crate::coordination::rollout::message::{Directive, GateReport};
@@ -86,8 +87,16 @@
     /// Takes over a directive of a deciding node, and passes it on if it is new.
     pub(super) fn handle_directive(&self, decider: SocketAddr, directive: &Directive) {
         let now = Instant::now();
-        if lock(&self.rollouts).receive(directive, now) == Reception::Outdated {
-            return;
+        let reception = lock(&self.rollouts).receive(directive, now);
+        match reception {
+            Reception::Accepted => {}
+            Reception::Outdated => return,
+            Reception::Contradictory => {
+                return self.send_held_directive(&directive.service, decider);
+            }
+        }
+        if let Some(decision) = directive.mode.decision() {
+            self.adopt_decision(directive, decision);
         }
         if self.is_own_service(&directive.service) {
             self.meter_target(decider, directive, now);
@@ -102,6 +111,32 @@
         }
     }
 
+    /// Sends the directive that this node holds for a service to another one.
+    fn send_held_directive(&self, service: &Path, to: SocketAddr) {
+        let held = {
+            let rollouts = lock(&self.rollouts);
+            rollouts.held.get(service).map(|h| h.directive().clone())
+        };
+        if let Some(directive) = held.filter(|_| to != self.addresses.peers) {
+            log::info!(
+                "directive sent to a node that does not know it to={to} service={service} mode={:?}",
+                directive.mode
+            );
+            let decider = self.addresses.peers;
+            self.send(to, &Datagram::RolloutDirective { decider, directive });
+        }
+    }
+
+    /// Remembers a decision that was announced. If this node decides the roll-out and does not know it,
+    /// because the store has lost it, it continues from there.
+    fn adopt_decision(&self, directive: &Directive, decision: Phase) {
+        let (service, rollout) = (&directive.service, directive.rollout);
+        if let Some(decider) = lock(&self.deciders).get_mut(service) {
+            decider.adopt_decision(rollout, decision);
+        }
+        lock(&self.rollout_memory).record_decision(service, rollout, decision);
+    }
+
     fn is_own_service(&self, service: &Path) -> bool {
         let target = self.settings.target.as_ref();
         target.is_some_and(|t| t.service == *service)
--- a/src/node/rollout_decider.rs
+++ b/src/node/rollout_decider.rs
@@ -10,6 +10,8 @@
 use super::rollout::since_epoch;
 use super::store::StoreResult;
 use super::{Node, lock};
+use crate::coordination::rollout::memory::OrderChange;
+use crate::coordination::rollout::message::RolloutId;
 use crate::coordination::rollout::{
     Authority, FleetView, Phase, Rollout, RolloutOrder, RolloutStatus, RolloutWrite, StoredRollout,
 };
@@ -58,6 +60,15 @@
     all: Vec<SocketAddr>,
 }
 
+impl Decider {
+    /// Continues with a decision about a roll-out that was announced to the fleet.
+    pub(super) fn adopt_decision(&mut self, rollout: RolloutId, decision: Phase) {
+        if self.order.id() == rollout {
+            self.rollout.adopt_decision(decision);
+        }
+    }
+}
+
 impl<P: Platform> Node<P> {
     /// Makes the decisions that are due, and sends the directives that follow.
     pub(super) fn decide_rollouts(&self) {
@@ -105,7 +116,8 @@
             if ended_at.is_some_and(|at| !losing || at.elapsed() >= FOLLOW_UP) {
                 log::info!("roll-out finished service={service} phase={phase}");
                 deciders.remove(service);
-                lock(&self.finished_rollouts).insert(order.id());
+                let era = self.platform.era();
+                lock(&self.rollout_memory).record_finished(order.id(), era);
                 return;
             }
             step.directive
@@ -171,11 +183,15 @@
             return;
         };
         for order in orders {
-            let is_known = lock(&self.deciders)
+            if !self.observe_order(&order) {
+                continue;
+            }
+            let is_decided_here = lock(&self.deciders)
                 .get(&order.service)
                 .is_some_and(|d| d.order == order);
             self.drop_replaced(&order).await;
-            if is_known || lock(&self.finished_rollouts).contains(&order.id()) {
+            let era = self.platform.era();
+            if is_decided_here || lock(&self.rollout_memory).is_finished(order.id(), era) {
                 continue;
             }
             if let Err(e) = self.take_order(order.clone()).await {
@@ -184,6 +200,21 @@
         }
     }
 
+    /// Compares an order with the last one for its service. Returns whether it is to be followed.
+    fn observe_order(&self, order: &RolloutOrder) -> bool {
+        let era = self.platform.era();
+        let change = lock(&self.rollout_memory).observe_order(order, era, Instant::now());
+        if matches!(change, OrderChange::Rewritten | OrderChange::Outdated) {
+            log::info!(
+                "roll-out order read service={} version={} revision={} era={era} change={change:?}",
+                order.service,
+                order.version,
+                order.revision
+            );
+        }
+        change != OrderChange::Outdated
+    }
+
     /// Gives up an earlier order for the same service.
     async fn drop_replaced(&self, order: &RolloutOrder) {
         let replaced = {
@@ -203,8 +234,10 @@
     async fn take_order(&self, order: RolloutOrder) -> StoreResult<()> {
         let published = self.platform.rollout_status(&order).await?;
         // The versions that run by now may be others than those of the order.
-        if published.is_some_and(RolloutStatus::is_end) {
-            lock(&self.finished_rollouts).insert(order.id());
+        if let Some(decision) = published.and_then(RolloutStatus::decision) {
+            let mut memory = lock(&self.rollout_memory);
+            memory.record_decision(&order.service, order.id(), decision);
+            memory.record_finished(order.id(), self.platform.era());
             return Ok(());
         }
         let requested_at = Instant::now();
@@ -225,14 +258,19 @@
         let state = self.platform.get(&state_key(&order.service)).await?;
         let state_revision = state.as_ref().map_or(Revision::ABSENT, |v| v.revision);
         let stored: Option<StoredRollout> = state.and_then(|v| decode_state(&v.text).ok());
+        let announced = lock(&self.rollout_memory).decision(&order.service, order.id());
         log::info!(
-            "deciding roll-out service={} version={} rollout={} stored={stored:?} published={published:?}",
+            "deciding roll-out service={} version={} rollout={} stored={stored:?} published={published:?} announced={announced:?}",
             order.service,
             order.version,
             order.id(),
         );
+        let mut rollout = Rollout::new(order.clone(), stored, published, since_epoch());
+        if let Some(decision) = announced {
+            rollout.adopt_decision(decision);
+        }
         let decider = Decider {
-            rollout: Rollout::new(order.clone(), stored, published, since_epoch()),
+            rollout,
             order: order.clone(),
             lease,
             renewed_at: requested_at,
@@ -258,7 +296,10 @@
                         d.renewed_at = requested_at;
                     }
                 }
-                Ok(false) => drop(lock(&self.deciders).remove(&service)),
+                Ok(false) => {
+                    log::warn!("roll-out left service={service}: the store has no such lease");
+                    lock(&self.deciders).remove(&service);
+                }
                 Err(_) => {}
             }
         }
--- a/src/protocol/wire_rollout.rs
+++ b/src/protocol/wire_rollout.rs
@@ -69,6 +69,7 @@
     /// Share, chosen targets, allowance.
     Compare(u16, Vec<SocketAddr>, u32),
     NewOnly,
+    Stopped,
 }
 
 impl From<&Directive> for WireDirective {
@@ -86,6 +87,7 @@
                     allowance,
                 } => WireMode::Compare(share.0, targets.to_vec(), *allowance),
                 Mode::NewOnly => WireMode::NewOnly,
+                Mode::Stopped => WireMode::Stopped,
             },
         }
     }
@@ -112,6 +114,7 @@
         Ok(match wire {
             WireMode::OldOnly => Mode::OldOnly,
             WireMode::NewOnly => Mode::NewOnly,
+            WireMode::Stopped => Mode::Stopped,
             WireMode::Compare(share, targets, allowance) => {
                 if targets.len() > CHOSEN_MAX || !targets.iter().all(is_peer_address) {
                     return Err(WireError::OutOfBounds("targets"));
--- a/tests/test_rollout.rs
+++ b/tests/test_rollout.rs
@@ -1,6 +1,9 @@
 //! Rolling out a version: comparison, exposure bound, end within the duration, and loss of the
 //! deciding node or of the store. A model of a service plays the gates and ingresses.
 
+#[path = "support/rollout_fleet.rs"]
+mod rollout_fleet;
+
 #[path = "support/rollout_model.rs"]
 mod rollout_model;
 
@@ -11,8 +14,7 @@
 use std::time::Duration;
 
 use fuzz::{chance, number_below};
-use gotham::helpers::http::Body;
-use hyper::Request;
+use rollout_fleet::{DURATION, RolloutFleet};
 use rollout_model::{Behaviour, Ended, Model, Scenario};
 use tarragoncourse::coordination::rollout::counts::{
     AnswerCounts, RouteKey, Side, TIME_BUCKETS, TimeHistogram, WindowNumber,
@@ -22,7 +24,6 @@
 };
 use tarragoncourse::coordination::rollout::{Phase, RolloutOrder, RolloutStatus};
 use tarragoncourse::experiment::fleet::Fleet;
-use tarragoncourse::experiment::latency::put_service_and_routes;
 use tarragoncourse::protocol::datagram::{
     DATAGRAM_MAX_BYTES, Datagram, DatagramOpener, DatagramSealer,
 };
@@ -33,8 +34,6 @@
 use tarragoncourse::state::id::{Incarnation, Path};
 use tarragoncourse::state::member::{Health, MemberRecord, TargetRecord, TargetVersion};
 use tarragoncourse::state::revision::Revision;
-use tarragoncourse::transport::client::HttpClient;
-use tarragoncourse::transport::http::read_body;
 use tarragoncourse::transport::platform::Platform;
 
 fn replay(scenario: Scenario) -> Ended {
@@ -302,65 +301,14 @@
     }
 }
 
-fn is_end(status: &str) -> bool {
-    ["completed", "rolled back"]
-        .iter()
-        .any(|end| status.contains(end))
-}
-
-/// Plays a roll-out of 20 s with real nodes on loopback, beside about 100 requests per second.
+/// Plays a roll-out with real nodes on loopback, beside about 100 requests per second.
 /// Returns the status in the store, and the number of requests that failed.
 async fn run_fleet(new: TargetBehaviour) -> (String, usize) {
-    const JOIN_TIMEOUT: Duration = Duration::from_secs(30);
-    let service = Path::new("guild/services/shop").unwrap();
-    let mut fleet = Fleet::default();
-    for _ in 0..2 {
-        let started = fleet.add_target_version(&service, TargetBehaviour::NORMAL, Some("v1"));
-        started.await.expect("start a target");
-    }
-    fleet.wait_until_joined(JOIN_TIMEOUT).await.expect("join");
-    fleet
-        .node(0)
-        .apply_as_admin(put_service_and_routes(&service))
-        .await;
-    let order = RolloutOrder {
-        service: service.clone(),
-        version: TargetVersion("v2".into()),
-        duration: Duration::from_secs(20),
-        revision: 0,
-    };
-    let (key, text) = (order_key(&service), encode_order(&order));
-    let written = fleet
-        .platform
-        .compare_and_swap(&key, &text, Revision::ABSENT, None);
-    written.await.expect("write the order");
-    for _ in 0..2 {
-        let started = fleet.add_target_version(&service, new, Some("v2"));
-        started.await.expect("start a target");
-    }
-    fleet.wait_until_joined(JOIN_TIMEOUT).await.expect("join");
-    let (client, callers) = (HttpClient::default(), fleet.caller_addresses());
-    let (started, mut failed) = (std::time::Instant::now(), 0);
-    let mut status = String::new();
-    while started.elapsed() < Duration::from_secs(40) && !is_end(&status) {
-        let calls = callers.iter().map(|to| async {
-            let request = Request::get("/lookup").body(Body::default()).unwrap();
-            match client.send(*to, request).await {
-                Ok(r) if r.status().is_success() => read_body(r.into_body(), 1 << 20).await.is_ok(),
-                _ => false,
-            }
-        });
-        let answered = futures_util::future::join_all(calls).await;
-        failed += answered.iter().filter(|ok| !**ok).count();
-        tokio::time::sleep(Duration::from_millis(40)).await;
-        let value = fleet
-            .platform
-            .get("rollout/status/guild/services/shop")
-            .await;
-        status = value.ok().flatten().map_or(String::new(), |v| v.text);
-    }
-    fleet.shut_down();
-    (status, failed)
+    let mut rollout = RolloutFleet::start().await;
+    rollout.order(new).await;
+    let ended = rollout.call_until_end(2 * DURATION).await;
+    rollout.fleet.shut_down();
+    ended
 }
 
 /// Guards against a decision that the nodes do not carry out, and against lost requests.
