Tell the decision of a roll-out to nodes that start after it

Cause: the other nodes hold the decision and leave out targets of unknown version; a node publishes the version of its target only while it holds a directive, and nobody sends one to a node that starts after the deciding node has finished. Evidence: targets_are_served_after_their_nodes_restart_soon_after_a_rollout failed before (132 requests failed in 3 s). On the related path, a_target_shares_the_load_after_its_node_restarts_soon_after_a_roll_back: 0 of 200 requests before. Change: nodes that hold a decision send it to a node that joins, and to those of the service that publish no version. Targets of unknown version are used while none of the version that takes all requests is known. A version stays published. Tried: the roll-back test with the caller's node in the zone of one target; it failed for the zone preference alone and proved nothing. Result: both tests pass.

--- a/src/coordination/rollout/guide.rs
+++ b/src/coordination/rollout/guide.rs
@@ -56,24 +56,23 @@
 
 impl Destination<'_> {
     /// Removes the targets to which the request may not be sent. A target of unknown version may have
-    /// started for the roll-out, so it is used like an old one only if no old one is known.
+    /// started for the roll-out, or its node may have started since. It is used only if no target of the
+    /// version that takes all requests is known.
     pub fn retain<T>(
         &self,
         targets: &mut Vec<T>,
         peer: impl Fn(&T) -> SocketAddr,
         side: impl Fn(&T) -> KnownSide,
     ) {
-        let accepted = match self {
-            Destination::Old
-                if targets
-                    .iter()
-                    .any(|t| side(t) == KnownSide::Known(Side::Old)) =>
-            {
-                KnownSide::Known(Side::Old)
-            }
-            Destination::Old => KnownSide::Unknown,
+        let known = match self {
+            Destination::Old => KnownSide::Known(Side::Old),
             Destination::Chosen(_) | Destination::New => KnownSide::Known(Side::New),
         };
+        let takes_all = !matches!(self, Destination::Chosen(_));
+        let accepted = match takes_all && !targets.iter().any(|t| side(t) == known) {
+            true => KnownSide::Unknown,
+            false => known,
+        };
         targets.retain(|t| {
             let is_chosen = match self {
                 Destination::Chosen(chosen) => chosen.contains(&peer(t)),
--- a/src/node/peer_server.rs
+++ b/src/node/peer_server.rs
@@ -128,6 +128,7 @@
         let records = members.table().records().map(|r| (**r).clone()).collect();
         members.merge_records(std::slice::from_ref(record), Instant::now());
         drop(members);
+        self.send_decisions(record.peer);
         // The newest known version has been accepted, even if it is not active on this node yet.
         let newest_known: Version = lock(&self.distribution).newest_known();
         PeerReply::Table(records, newest_known)
--- a/src/node/rollout.rs
+++ b/src/node/rollout.rs
@@ -14,13 +14,13 @@
 use super::{Node, lock, unix_millis};
 use crate::coordination::outcome::{NotRun, Outcome};
 use crate::coordination::rollout::Phase;
-use crate::coordination::rollout::counts::{RouteKey, Side, WindowNumber};
+use crate::coordination::rollout::counts::{RouteKey, Side, WINDOW, WindowNumber};
 use crate::coordination::rollout::guide::{HeldDirective, KnownSide, Reception};
 use crate::coordination::rollout::message::{Directive, GateReport};
 use crate::coordination::rollout::meter::{RequestEnd, TargetMeter};
 use crate::protocol::datagram::Datagram;
 use crate::state::id::{AttemptId, Path};
-use crate::state::member::TargetVersion;
+use crate::state::member::{MemberRecord, TargetVersion};
 use crate::state::routing::{Candidate, ServiceEntry};
 use crate::transport::platform::Platform;
 
@@ -28,6 +28,10 @@
 const ROLLOUT_TICK: Duration = Duration::from_millis(200);
 /// Number of peers to which a new directive is passed on.
 const RELAY_PEERS: usize = 4;
+/// Ticks between repairs of nodes that publish no version; one second.
+const REPAIR_TICKS: u32 = 5;
+/// Number of nodes, on average, that send a decision to such a node in one repair.
+const REPAIR_SENDERS: f64 = 2.0;
 
 /// What a node knows about roll-outs.
 #[derive(Debug, Default)]
@@ -38,17 +42,29 @@
     meter: Option<TargetMeter>,
     /// The node that decides the roll-out of the local target's service.
     decider: Option<SocketAddr>,
+    /// Whether the service of the local target was rolled out since this process has started.
+    publishes_version: bool,
 }
 
 impl Rollouts {
-    /// Takes over a directive, unless a newer one is held.
-    fn receive(&mut self, directive: &Directive, now: Instant) -> Reception {
-        let Some(held) = self.held.get_mut(&directive.service) else {
-            let held = HeldDirective::new(directive.clone(), now);
-            self.held.insert(directive.service.clone(), held);
-            return Reception::Accepted;
-        };
-        held.receive(directive, now)
+    /// Takes over a directive that was received, or issued, at `at`, unless a newer one is held or it no
+    /// longer counts.
+    fn receive(&mut self, directive: &Directive, at: Instant, now: Instant) -> Reception {
+        if let Some(held) = self.held.get_mut(&directive.service) {
+            return held.receive(directive, at);
+        }
+        let held = HeldDirective::new(directive.clone(), at);
+        if !held.is_retained(now) {
+            return Reception::Outdated;
+        }
+        self.held.insert(directive.service.clone(), held);
+        Reception::Accepted
+    }
+
+    /// The directives that announce a decision.
+    fn decisions(&self) -> impl Iterator<Item = &Directive> {
+        let held = self.held.values().map(HeldDirective::directive);
+        held.filter(|d| d.mode.decision().is_some())
     }
 
     /// Removes directives that no longer count.
@@ -66,6 +82,17 @@
     }
 }
 
+/// Time from which the retention of a directive counts. Nodes pass a decision on to those that start
+/// later, so it counts from when the directive was issued. Other directives come from the deciding node
+/// alone, and count from when they are received: clocks differ.
+fn counted_from(directive: &Directive, now: Instant) -> Instant {
+    let age = WindowNumber::at(since_epoch()).since(directive.issued);
+    match directive.mode.decision() {
+        Some(_) => now.checked_sub(WINDOW * age as u32).unwrap_or(now),
+        None => now,
+    }
+}
+
 /// The current time since the Unix epoch.
 pub(super) fn since_epoch() -> Duration {
     Duration::from_millis(unix_millis())
@@ -76,10 +103,15 @@
     pub(super) async fn rollout_loop(self: Arc<Self>) {
         let mut interval = tokio::time::interval(ROLLOUT_TICK);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticks: u32 = 0;
         loop {
             interval.tick().await;
             self.send_rollout_reports();
             self.decide_rollouts();
+            ticks = ticks.wrapping_add(1);
+            if ticks.is_multiple_of(REPAIR_TICKS) {
+                self.repair_decisions();
+            }
             lock(&self.rollouts).forget_old(Instant::now());
         }
     }
@@ -87,7 +119,7 @@
     /// Takes over a directive of a deciding node, and passes it on if it is new.
     pub(super) fn handle_directive(&self, decider: SocketAddr, directive: &Directive) {
         let now = Instant::now();
-        let reception = lock(&self.rollouts).receive(directive, now);
+        let reception = lock(&self.rollouts).receive(directive, counted_from(directive, now), now);
         match reception {
             Reception::Accepted => {}
             Reception::Outdated => return,
@@ -111,6 +143,43 @@
         }
     }
 
+    /// Sends the decisions that this node holds to a node that has started.
+    pub(super) fn send_decisions(&self, to: SocketAddr) {
+        let decisions: Vec<Directive> = lock(&self.rollouts).decisions().cloned().collect();
+        for directive in decisions {
+            self.send_held_directive(&directive.service, to);
+        }
+    }
+
+    /// Sends the decisions that this node holds to the nodes of their services that publish no version:
+    /// they have started since, and were not sent the directives or have lost them.
+    fn repair_decisions(&self) {
+        let services: Vec<Path> = {
+            let rollouts = lock(&self.rollouts);
+            rollouts.decisions().map(|d| d.service.clone()).collect()
+        };
+        for service in services {
+            for peer in self.unversioned_peers(&service) {
+                self.send_held_directive(&service, peer);
+            }
+        }
+    }
+
+    /// Nodes of a service that publish no version, drawn so that about [`REPAIR_SENDERS`] nodes of the
+    /// fleet draw each.
+    fn unversioned_peers(&self, service: &Path) -> Vec<SocketAddr> {
+        let members = lock(&self.members);
+        let probability = REPAIR_SENDERS / members.table().alive_count().max(1) as f64;
+        let records = members.table().records_of_service(service);
+        let is_unversioned = |r: &MemberRecord| {
+            r.health.is_alive() && r.target.as_ref().is_some_and(|t| t.version.is_none())
+        };
+        let unversioned = records.filter(|r| is_unversioned(r)).map(|r| r.peer);
+        unversioned
+            .filter(|_| fastrand::f64() < probability)
+            .collect()
+    }
+
     /// Sends the directive that this node holds for a service to another one.
     fn send_held_directive(&self, service: &Path, to: SocketAddr) {
         let held = {
@@ -149,10 +218,10 @@
         announced.or_else(|| target?.version.as_deref().map(|v| TargetVersion(v.into())))
     }
 
-    /// Version of the local target to publish: only during a roll-out of its service.
+    /// Version of the local target to publish: from the first roll-out of its service on. Other nodes may
+    /// hold a directive for longer than this one.
     pub(super) fn published_version(&self) -> Option<TargetVersion> {
-        let target = self.settings.target.as_ref()?;
-        let is_rolled_out = lock(&self.rollouts).held.contains_key(&target.service);
+        let is_rolled_out = lock(&self.rollouts).publishes_version;
         is_rolled_out.then(|| self.target_version()).flatten()
     }
 
@@ -169,6 +238,7 @@
         {
             let mut rollouts = lock(&self.rollouts);
             rollouts.decider = Some(decider);
+            rollouts.publishes_version = true;
             match &mut rollouts.meter {
                 Some(meter) if meter.rollout() == directive.rollout && meter.side() == side => {
                     meter.receive(directive, now);
