Let no answer at its deadline end the connection on which others wait

Cause: an answer without a known length was passed on at once and failed exactly at the deadline; a body that is being passed on can only be ended with the caller's connection. Evidence: an_answer_that_ends_at_the_deadline_costs_none_of_those_behind_it failed before in four framings (no length, chunks, over 64 KiB, long chunks), at the target's node and at another: all answers behind were lost. Change: an answer of unknown length is read for up to 50 ms or 64 KiB before it is passed on; a body that is passed on has 200 ms after the deadline to end, and is limited at the ingress as well. Both moved to node::response_body, with a log line for a body that is cut off.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -6,11 +6,15 @@
 use std::time::Duration;
 
 use gotham::helpers::http::Body;
+use http_body::Body as HttpBody;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::body::{RequestBody, buffer_short_response};
+use super::body::RequestBody;
+use super::response_body::{
+    DeadlineBody, END_GRACE, RESPONSE_BUFFER_MAX_BYTES, buffer_sized_response,
+};
 use super::{Node, lock, unix_millis};
 use crate::coordination::gate::VoidOutcome;
 use crate::coordination::identity::Identity;
@@ -258,6 +262,12 @@
                 );
                 return Err(SendError::Broken);
             }
+            // The gate itself ends the body, unless it or the link to it has gone silent.
+            let end = call.deadline + END_GRACE;
+            let response = response.map(|b| match b.size_hint().exact() {
+                Some(length) if length <= RESPONSE_BUFFER_MAX_BYTES => b,
+                _ => DeadlineBody::wrap(b, context.attempt, end, ()),
+            });
             let service_time = || elapsed_unless_bulk(started);
             Ok(read_gate_response(response, &call.service, service_time).await)
         };
@@ -441,7 +451,7 @@
             response.headers_mut().remove(BACKLOG_HEADER);
             // A server error of the target counts against it when targets are picked.
             let is_error = response.status().is_server_error();
-            match buffer_short_response(response).await {
+            match buffer_sized_response(response).await {
                 Ok(response) if is_error => (
                     AttemptResult::Answered(response),
                     TargetFeedback::Refused(load),
--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -1,5 +1,5 @@
 //! Request bodies from callers: small ones are buffered so that the request can be retried, larger
-//! ones are streamed once. Also buffers short responses.
+//! ones are streamed once.
 
 use std::io;
 use std::pin::Pin;
@@ -11,18 +11,16 @@
 use gotham::helpers::http::Body;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::header::CONTENT_LENGTH;
-use hyper::{HeaderMap, Response};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::lock;
 use crate::protocol::dialect::header_number;
-use crate::transport::http::{full_body, read_body};
+use crate::transport::http::full_body;
 
 /// Memory for buffered request bodies, over all requests of a node, in bytes.
 const BUFFER_TOTAL_BYTES: usize = 64 << 20;
-/// Largest response that is buffered before it is forwarded, in bytes.
-pub(super) const RESPONSE_BUFFER_MAX_BYTES: u64 = 64 << 10;
 /// Number of bytes of a streamed body by which it is told from others.
 const PREFIX_BYTES: usize = 4 << 10;
 /// Amount of buffer memory that one semaphore permit represents, in bytes.
@@ -272,18 +270,3 @@
         hint
     }
 }
-
-/// Buffers a short response, so that a truncated one is detected before any of it is forwarded.
-/// Longer responses, and those of unknown length, are streamed.
-///
-/// # Errors
-/// Returns an error if the response is truncated.
-pub(super) async fn buffer_short_response(response: Response<Body>) -> io::Result<Response<Body>> {
-    let length = response.body().size_hint().exact();
-    if length.is_none_or(|l| l == 0 || l > RESPONSE_BUFFER_MAX_BYTES) {
-        return Ok(response);
-    }
-    let (parts, body) = response.into_parts();
-    let bytes = read_body(body, RESPONSE_BUFFER_MAX_BYTES as usize).await?;
-    Ok(Response::from_parts(parts, full_body(bytes)))
-}
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -2,26 +2,22 @@
 //! response back.
 
 use std::collections::HashMap;
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body::Body as HttpBody;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response};
 use tokio::sync::oneshot;
-use tokio::time::{Instant, Sleep};
+use tokio::time::Instant;
 
-use super::body::{RESPONSE_BUFFER_MAX_BYTES, buffer_short_response};
 use super::fingerprint::{fingerprint_text, take_fingerprints};
 use super::gate_response::{
     rate_text, refusal_response, set_outcome_headers, strip_hop_headers, unknown_response,
     workspace_text,
 };
+use super::response_body::{DeadlineBody, RESPONSE_BUFFER_MAX_BYTES, buffer_short_response};
 use super::{Node, TARGET_IDLE_TIMEOUT, lock, unix_millis};
 use crate::coordination::gate::{Admission, AdmissionRequest, Gate, GateAction, GateActions};
 use crate::coordination::outcome::{NotRun, Outcome, UnknownReason};
@@ -376,6 +372,7 @@
     ) -> Response<Body> {
         lock(&self.target_health).record_answer(Instant::now());
         guard.outcome = Outcome::Answered;
+        let attempt = guard.attempt;
         strip_hop_headers(
             response.headers_mut(),
             self.platform.dialect().end_to_end_headers(),
@@ -392,11 +389,7 @@
                 drop(guard);
                 return body;
             }
-            Body::new(GuardedBody {
-                body,
-                deadline: Box::pin(tokio::time::sleep_until(deadline)),
-                _guard: guard,
-            })
+            DeadlineBody::wrap(body, attempt, deadline, guard)
         })
     }
 
@@ -471,34 +464,3 @@
         }
     }
 }
-
-/// The body of a target's response. It holds the attempt's slot until it has been streamed, and
-/// fails with a timeout once the deadline has passed.
-struct GuardedBody<P: Platform> {
-    body: Body,
-    deadline: Pin<Box<Sleep>>,
-    _guard: AttemptGuard<P>,
-}
-
-impl<P: Platform> HttpBody for GuardedBody<P> {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if self.deadline.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
-        }
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -35,6 +35,7 @@
 mod metrics;
 mod peer_server;
 mod quota;
+mod response_body;
 mod retries;
 mod rollout;
 mod rollout_decider;
