Let a report of the target correct the side that its gate chose

Cause: the gate chose the side of its target when the decision arrived, before the first report of the target, and took a target of unknown version for an old one. Only a further directive would have corrected it. Change: after a report the gate follows the held decision anew if the side has changed.

--- a/src/node/rollout.rs
+++ b/src/node/rollout.rs
@@ -225,12 +225,36 @@
         is_rolled_out.then(|| self.target_version()).flatten()
     }
 
-    /// Lets the gate follow a directive about its own service.
-    fn meter_target(&self, decider: SocketAddr, directive: &Directive, now: Instant) {
-        let side = match self.target_version() {
+    /// The side of the local target in a roll-out. One of unknown version belongs to the old one.
+    fn target_side(&self, directive: &Directive) -> Side {
+        match self.target_version() {
             Some(version) if version == directive.version => Side::New,
             _ => Side::Old,
+        }
+    }
+
+    /// Lets the gate follow a decision about its own service after a report of the local target, whose
+    /// version may have been unknown when the decision arrived. Other directives are sent again soon.
+    pub(super) fn meter_reported_target(&self) {
+        let service = self.settings.target.as_ref().map(|t| &t.service);
+        let followed = {
+            let rollouts = lock(&self.rollouts);
+            let held = service.and_then(|s| rollouts.held.get(s));
+            let held = held.filter(|h| h.directive().mode.decision().is_some());
+            let side = rollouts.meter.as_ref().map(TargetMeter::side);
+            held.zip(rollouts.decider.zip(side))
+                .map(|(h, (decider, side))| (h.directive().clone(), decider, side))
         };
+        if let Some((directive, decider, side)) = followed
+            && self.target_side(&directive) != side
+        {
+            self.meter_target(decider, &directive, Instant::now());
+        }
+    }
+
+    /// Lets the gate follow a directive about its own service.
+    fn meter_target(&self, decider: SocketAddr, directive: &Directive, now: Instant) {
+        let side = self.target_side(directive);
         let (running, incarnation) = {
             let state = lock(&self.gate);
             (state.gate.running(), state.gate.incarnation())
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -117,6 +117,7 @@
             );
         }
         self.sync_target(now);
+        self.meter_reported_target();
         heard
     }
 
--- a/tests/test_rollout_restart.rs
+++ b/tests/test_rollout_restart.rs
@@ -6,9 +6,14 @@
 use std::time::Duration;
 
 use rollout_fleet::{DURATION, RolloutFleet};
+use tarragoncourse::coordination::announce::{Stage, TargetReport};
+use tarragoncourse::experiment::fleet::node_settings;
+use tarragoncourse::node::RunningNode;
+use tarragoncourse::node::config::LocalTarget;
 use tarragoncourse::protocol::record::decode_slot;
 use tarragoncourse::protocol::wire_rollout::decider_key;
 use tarragoncourse::standin::target::Behaviour;
+use tarragoncourse::state::member::TargetVersion;
 use tarragoncourse::transport::platform::Platform;
 
 /// Index of the node that decides the roll-out, if there is one.
@@ -63,6 +68,54 @@
     assert_eq!(failed, 0, "{state}");
 }
 
+/// Starts a node in place of the one with this index, beside the same target, which has not reported yet.
+async fn replace_by_unreported(rollout: &mut RolloutFleet, index: usize) {
+    let fleet = &mut rollout.fleet;
+    let target = LocalTarget {
+        address: fleet.targets[index].address,
+        service: rollout.service.clone(),
+        slots: fleet.targets[index].target.slots(),
+        announced: true,
+        version: None,
+    };
+    let started = RunningNode::start(node_settings(index, Some(target)), fleet.platform.clone());
+    let replaced = std::mem::replace(&mut fleet.nodes[index], started.await.expect("start"));
+    replaced.kill();
+}
+
+/// Guards against a gate that takes its target for one of the old version for good, because the decision
+/// arrives before the first report of the target.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_reports_after_its_node_has_learned_the_decision_is_served() {
+    let mut rollout = RolloutFleet::start().await;
+    rollout.order(Behaviour::NORMAL).await;
+    let (status, _) = rollout.call_until_end(2 * DURATION).await;
+    assert!(status.contains("completed"), "{status}");
+    for index in 2..4 {
+        replace_by_unreported(&mut rollout, index).await;
+    }
+    rollout.call_for(LEARN_TIME).await;
+    for index in 2..4 {
+        rollout.fleet.node(index).handle_report(TargetReport {
+            instance: format!("target-{index}").into(),
+            boot: 1000,
+            sequence: 1,
+            stage: Stage::Serving,
+            slots: 4,
+            warmup: Duration::ZERO,
+            version: Some(TargetVersion("v2".into())),
+        });
+    }
+    for old in rollout.fleet.nodes.drain(..2) {
+        old.kill();
+    }
+    rollout.fleet.targets.drain(..2);
+    rollout.call_for(LEARN_TIME).await;
+    let failed = rollout.call_for(LEARN_TIME).await;
+    rollout.fleet.shut_down();
+    assert_eq!(failed, 0);
+}
+
 /// Guards against a target that gets no requests for as long as the others hold the decision, because
 /// its node has restarted since the version was rolled back.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
