Acknowledge a leave only when other nodes know of it

Cause: the report was answered on what one process held in its memory; gossip took the leave to the peers up to 50 ms later. A later reminder of a peer that had not heard also replaced an earlier one with the leave, and a second restart forgot what the first had learned.

--- a/src/coordination/announce.rs
+++ b/src/coordination/announce.rs
@@ -206,6 +206,14 @@
         Some((latest.report.instance.clone(), latest.report.boot))
     }
 
+    /// Start of a target that is known to be leaving, although it has not reported to this process.
+    /// `None` after its first report, and if its start time is not known.
+    pub fn unreported_leave(&self) -> Option<TargetStart> {
+        let (instance, boot) = self.recorded_leave.as_ref()?;
+        let is_known = self.latest.is_none() && *boot != u64::MAX;
+        is_known.then(|| (instance.clone(), *boot))
+    }
+
     /// Software version of the target, if it has reported one.
     pub fn version(&self) -> Option<&TargetVersion> {
         self.latest.as_ref()?.report.version.as_ref()
--- a/src/coordination/members/mod.rs
+++ b/src/coordination/members/mod.rs
@@ -374,7 +374,7 @@
     fn merge_record(&mut self, record: &MemberRecord, now: Instant) -> bool {
         if record.peer == self.own_record.peer {
             if record.incarnation < self.own_record.incarnation {
-                self.past_target = record.target.clone();
+                self.note_past_target(record.target.as_ref());
             }
             self.refute(record);
             return false;
@@ -396,6 +396,14 @@
         }
     }
 
+    /// Keeps the target that an earlier incarnation of this node published. Not all peers have heard of its
+    /// leave, so a record that says so is not replaced by another one.
+    fn note_past_target(&mut self, target: Option<&TargetRecord>) {
+        if !self.past_target.as_ref().is_some_and(|t| t.leaving) {
+            self.past_target = target.cloned();
+        }
+    }
+
     fn store_record(&mut self, record: &MemberRecord) -> MergeOutcome {
         let before = self.table.get(&record.peer).cloned();
         let merged = self.table.merge(record);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,7 +13,7 @@
 //! To avoid deadlocks, mutexes are locked in the order of the fields of [`Node`]: members,
 //! distribution, watcher_slot, freshness, announced_target, target_notices, gate, target_health, link_schedule, picker,
 //! peer_restarts, retry_budgets, pressure, quota, sender, pending_fetches, pauses,
-//! recent_refusals, deciders, rollouts, rollout_memory. A lock is never held across an await.
+//! recent_refusals, deciders, rollouts, rollout_memory, confirmed_leave. A lock is never held across an await.
 
 mod api;
 mod attempt;
@@ -31,6 +31,7 @@
 mod identity;
 mod ingress;
 mod join;
+mod leave;
 mod local_response;
 mod metrics;
 mod peer_server;
@@ -80,7 +81,7 @@
 use crate::protocol::datagram::DatagramSealer;
 use crate::protocol::key::FleetKey;
 use crate::state::id::{Incarnation, Path, Version};
-use crate::state::member::{Health, MemberRecord, TargetRecord};
+use crate::state::member::{Health, MemberRecord, TargetRecord, TargetStart};
 use crate::state::routing::RoutingTable;
 use crate::state::snapshot::{Delta, Snapshot};
 use crate::transport::client::HttpClient;
@@ -185,6 +186,8 @@
     deciders: Mutex<BTreeMap<Path, Decider>>,
     rollouts: Mutex<Rollouts>,
     rollout_memory: Mutex<RolloutMemory>,
+    /// The last start of the local target whose leave other nodes know of.
+    confirmed_leave: Mutex<Option<TargetStart>>,
     claim_queue: ClaimQueue,
     claim_memory: Mutex<ClaimMemory>,
     pull_permits: Semaphore,
@@ -266,6 +269,7 @@
             deciders: Mutex::default(),
             rollouts: Mutex::default(),
             rollout_memory: Mutex::default(),
+            confirmed_leave: Mutex::default(),
             claim_queue,
             claim_memory: Mutex::default(),
             pull_permits: Semaphore::new(CONCURRENT_PULLS_MAX),
--- a/src/node/peer_server.rs
+++ b/src/node/peer_server.rs
@@ -86,6 +86,12 @@
                 let decision = self.decide_transfer(*bytes, *time_limit);
                 PeerReply::Transfer(decision)
             }
+            PeerRequest::Publish(record) => {
+                let record = std::slice::from_ref(record);
+                lock(&self.members).merge_records(record, Instant::now());
+                self.refresh_targets();
+                PeerReply::Published
+            }
             PeerRequest::Versions => {
                 PeerReply::Versions(self.version(), lock(&self.distribution).newest_known())
             }
@@ -140,6 +146,7 @@
     match request {
         PeerRequest::Pull(_) => "delta",
         PeerRequest::Join(_) => "join",
+        PeerRequest::Publish(_) => "member",
         PeerRequest::Void { .. } => "void",
         PeerRequest::Claim(_) => "claim",
         PeerRequest::Versions => "operator",
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -223,12 +223,17 @@
             }
             let slots = target.slots().unwrap_or(target_settings.slots);
             let usable_slots = lock(&self.gate).gate.usable_slots(published_slots);
-            let record = target.instance().map(|instance| TargetRecord {
+            let unreported = target.unreported_leave();
+            let instance = target.instance().or(unreported.as_ref().map(|(i, _)| i));
+            let record = instance.map(|instance| TargetRecord {
                 instance: instance.clone(),
                 service: target_settings.service.clone(),
                 slots: usable_slots.map_or(slots, |usable| usable.min(slots)),
-                last_report: target.last_report().unwrap_or_default(),
-                leaving: target.is_leaving(),
+                last_report: match &unreported {
+                    Some((_, boot)) => (*boot, 0),
+                    None => target.last_report().unwrap_or_default(),
+                },
+                leaving: unreported.is_some() || target.is_leaving(),
                 version,
             });
             (target.health(now), record)
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -47,6 +47,8 @@
         /// start.
         time_limit: Option<Duration>,
     },
+    /// Requests that the node takes over the record of the sender.
+    Publish(MemberRecord),
 }
 
 /// The reply to a [`PeerRequest`].
@@ -65,6 +67,8 @@
     Versions(Version, Version),
     /// Reply to [`PeerRequest::Transfer`].
     Transfer(TransferDecision),
+    /// Reply to [`PeerRequest::Publish`]: the node has the record.
+    Published,
 }
 
 /// Maximum number of operations in a claim request.
@@ -81,6 +85,7 @@
     Versions,
     /// Length of the body, and time limit in milliseconds.
     Transfer(u64, Option<u64>),
+    Publish(WireMemberRecord),
 }
 
 /// Wire form of [`KeyOperation`]: the hashed key, the attempt that claims it and, for `Complete`,
@@ -110,6 +115,7 @@
     Versions(u64, u64),
     /// Whether the transfer is granted, and the time to wait in milliseconds.
     Transfer(bool, u64),
+    Published,
 }
 
 /// Wire form of [`ClaimOutcome`]. Variants are encoded by their position.
@@ -128,6 +134,7 @@
         let wire = match self {
             PeerRequest::Pull(since) => WireRequest::Pull(since.0),
             PeerRequest::Join(record) => WireRequest::Join(record.into()),
+            PeerRequest::Publish(record) => WireRequest::Publish(record.into()),
             PeerRequest::Void {
                 attempt,
                 incarnation,
@@ -152,6 +159,7 @@
         Ok(match postcard::from_bytes(bytes)? {
             WireRequest::Pull(since) => PeerRequest::Pull(Version(since)),
             WireRequest::Join(record) => PeerRequest::Join(record.try_into()?),
+            WireRequest::Publish(record) => PeerRequest::Publish(record.try_into()?),
             WireRequest::Void(attempt, incarnation, age) => PeerRequest::Void {
                 attempt: AttemptId(attempt),
                 incarnation: Incarnation(incarnation),
@@ -204,6 +212,7 @@
                 version.0,
             ),
             PeerReply::Versions(current, newest) => WireReply::Versions(current.0, newest.0),
+            PeerReply::Published => WireReply::Published,
             PeerReply::Voided(VoidOutcome::Fenced) => WireReply::Fenced,
             PeerReply::Transfer(TransferDecision::SendAfter(wait)) => {
                 WireReply::Transfer(true, wait.as_millis() as u64)
@@ -249,6 +258,7 @@
                 PeerReply::Versions(Version(current), Version(newest))
             }
             WireReply::Fenced => PeerReply::Voided(VoidOutcome::Fenced),
+            WireReply::Published => PeerReply::Published,
             WireReply::Transfer(granted, wait) => {
                 let wait = Duration::from_millis(wait);
                 PeerReply::Transfer(match granted {
--- a/tests/test_leave.rs
+++ b/tests/test_leave.rs
@@ -85,3 +85,19 @@
     }
     assert_eq!(node.take_past_target(), before.target);
 }
+
+/// Guards against a leave that is overwritten by the older record of a peer that has not heard of it.
+#[test]
+fn a_peer_that_has_not_heard_of_a_leave_does_not_hide_it() {
+    let now = Instant::now();
+    let restarted = MemberRecord {
+        target: None,
+        ..record(1, 200, 0, false)
+    };
+    let mut node = Members::new(restarted, now, fastrand::Rng::with_seed(1));
+    let leaving = record(1, 100, 1000, true);
+    for known in [&leaving, &record(1, 100, 1000, false)] {
+        node.merge_records(std::slice::from_ref(known), now);
+    }
+    assert_eq!(node.take_past_target(), leaving.target);
+}
