Count the wait of a request once, also on a connection that passes through

Cause: after a body in chunks the bytes of a connection are passed through unread, so no later request sets a time of arrival, and that of the chunked one was told to all of them as the time that they had waited. Evidence: a_request_after_a_body_in_chunks_has_not_waited failed before: 62 ms told to a request that had not waited. Change: the time of arrival is taken when it is told. The endpoints of the tests of a wait are one now. Result: the test passes, as do the others of test_pipeline.

--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -14,7 +14,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -70,7 +70,8 @@
     /// The request passed to the HTTP library, if it was started early and its response has not
     /// been fetched yet.
     current: Mutex<Option<EarlyRequest>>,
-    /// When that request had arrived.
+    /// When that request had arrived. `None` once its service was told, since requests that are passed
+    /// through set no time of their own.
     arrived_at: Mutex<Option<Instant>>,
     /// Number of requests behind the current one that were started early.
     started_behind: AtomicUsize,
@@ -108,7 +109,7 @@
 
     /// Tells the service of the current request how long that has waited behind others.
     pub fn set_waited(&self, headers: &mut HeaderMap) {
-        let arrived_at = *self.arrived_at.lock().unwrap_or_else(|e| e.into_inner());
+        let arrived_at = self.lock_arrived().take();
         set_waited(headers, arrived_at);
     }
 
@@ -117,11 +118,15 @@
             self.started_behind.fetch_sub(1, Ordering::AcqRel);
         }
         *self.lock_current() = early;
-        *self.arrived_at.lock().unwrap_or_else(|e| e.into_inner()) = Some(arrived_at);
+        *self.lock_arrived() = Some(arrived_at);
         self.busy.store(true, Ordering::Release);
     }
 
-    fn lock_current(&self) -> std::sync::MutexGuard<'_, Option<EarlyRequest>> {
+    fn lock_arrived(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.arrived_at.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn lock_current(&self) -> MutexGuard<'_, Option<EarlyRequest>> {
         self.current.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
--- a/tests/test_pipeline.rs
+++ b/tests/test_pipeline.rs
@@ -56,8 +56,24 @@
     }
 }
 
-async fn start_server() -> (Arc<SlowEndpoint>, SocketAddr, watch::Sender<bool>) {
-    let endpoint = Arc::new(SlowEndpoint::default());
+/// Endpoint that responds, after a delay, with the time that the request is said to have waited.
+struct Waited(Duration);
+
+impl Endpoint for Waited {
+    async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
+        let waited = request.headers().get("tarragon-waited-ms");
+        let waited = waited.map_or("0", |w| w.to_str().unwrap()).to_string();
+        let _ = read_body(request.into_body(), 1 << 20).await;
+        tokio::time::sleep(self.0).await;
+        body_response(StatusCode::OK, "text/plain", format!("{waited};"))
+    }
+}
+
+async fn start_waited(delay: Duration) -> (SocketAddr, watch::Sender<bool>) {
+    start_endpoint(Arc::new(Waited(delay))).await
+}
+
+async fn start_endpoint<E: Endpoint>(endpoint: Arc<E>) -> (SocketAddr, watch::Sender<bool>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (stop, stopped) = watch::channel(false);
@@ -65,7 +81,13 @@
         max_connections: 16,
         drain_timeout: Duration::from_secs(1),
     };
-    tokio::spawn(serve(listener, endpoint.clone(), limits, stopped));
+    tokio::spawn(serve(listener, endpoint, limits, stopped));
+    (address, stop)
+}
+
+async fn start_server() -> (Arc<SlowEndpoint>, SocketAddr, watch::Sender<bool>) {
+    let endpoint = Arc::new(SlowEndpoint::default());
+    let (address, stop) = start_endpoint(endpoint.clone()).await;
     (endpoint, address, stop)
 }
 
@@ -194,23 +216,7 @@
 /// connection were answered.
 #[tokio::test]
 async fn the_time_that_a_request_waits_behind_others_is_told() {
-    struct Waited;
-    impl Endpoint for Waited {
-        async fn call(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
-            let waited = request.headers().get("tarragon-waited-ms");
-            let waited = waited.map_or("0", |w| w.to_str().unwrap()).to_string();
-            tokio::time::sleep(Duration::from_millis(200)).await;
-            body_response(StatusCode::OK, "text/plain", format!("{waited};"))
-        }
-    }
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (_stop, stopped) = watch::channel(false);
-    let limits = ServeLimits {
-        max_connections: 16,
-        drain_timeout: Duration::from_secs(1),
-    };
-    tokio::spawn(serve(listener, Arc::new(Waited), limits, stopped));
+    let (address, _stop) = start_waited(Duration::from_millis(200)).await;
     let mut stream = TcpStream::connect(address).await.unwrap();
     // A caller cannot claim to have waited.
     let forged = "GET /a HTTP/1.1\r\nhost: a\r\ntarragon-waited-ms: 70000\r\n\r\n";
@@ -260,3 +266,19 @@
     let answered = 3 + u32::from(String::from_utf8_lossy(&rest).contains("/d/0+0;"));
     assert_eq!(endpoint.completed.load(Ordering::SeqCst), answered);
 }
+
+/// Guards against a wait that is told to each request after one whose body is in chunks: from then on, the
+/// requests of the connection are passed through, and the time of an earlier one must not be taken for theirs.
+#[tokio::test]
+async fn a_request_after_a_body_in_chunks_has_not_waited() {
+    let (address, _stop) = start_waited(Duration::ZERO).await;
+    let chunked =
+        "POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    let sized = "POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc";
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    for request in [chunked, chunked, sized, &get("/b")] {
+        stream.write_all(request.as_bytes()).await.unwrap();
+        assert_eq!(read_bodies(&mut stream, 1).await, ["0"], "{request}");
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+}
