Close a connection of a leaving node after the last request it has started

Cause: the ingress set Connection: close on each answer while its node was leaving, not knowing of the requests started behind it. Evidence: requests_behind_others_are_answered_in_a_stop failed before. Change: the connection sets the header, on the answer to the last request that was started; a leaving node starts none early. Result: the test passes.

--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -7,7 +7,7 @@
 
 use gotham::helpers::http::Body;
 use http::request::Parts;
-use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::header::HOST;
 use hyper::{Request, Response};
 use smallvec::SmallVec;
 use tokio::time::Instant;
@@ -57,7 +57,7 @@
         let dialect = node.platform.dialect();
         let request_id = dialect.request_id(request.headers()).to_string();
         let mut trace = RequestTrace::default();
-        let (mut response, outcome) = match &route {
+        let (response, outcome) = match &route {
             _ if !node.is_ready() => {
                 let caller_timeout = dialect.caller_timeout(request.headers());
                 trace.retry_after = retry_after_start(caller_timeout, fastrand::f64());
@@ -84,13 +84,13 @@
             trace.retry_after.as_millis(),
             started.elapsed().as_secs_f64() * 1000.0,
         );
-        if node.is_leaving() {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
-        }
         response
     }
 
+    fn is_leaving(&self) -> bool {
+        self.0.is_leaving()
+    }
+
     fn may_start_early(&self, request: &Request<Body>) -> bool {
         let table = self.0.routing.load();
         let route = find_route(&table, request).map(|r| &r.route);
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -19,6 +19,7 @@
 use gotham::state::{FromState, State, client_addr};
 use http_body::Body as HttpBody;
 use http_body_util::{BodyExt, Empty, Full};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -49,6 +50,12 @@
         false
     }
 
+    /// Whether callers are to open no further connections, because the process will stop. A connection is
+    /// then closed with the answer to the last request that has been started.
+    fn is_leaving(&self) -> bool {
+        false
+    }
+
     /// Limits on requests and connections of callers. Read once for each new connection.
     fn limits(&self) -> Limits {
         Limits::default()
@@ -191,7 +198,7 @@
     let start_early = {
         let endpoint = endpoint.clone();
         move |request: Request<Body>| {
-            let allowed = endpoint.may_start_early(&request);
+            let allowed = !endpoint.is_leaving() && endpoint.may_start_early(&request);
             allowed
                 .then(|| EarlyRequest::new(tokio::spawn(handle(endpoint.clone(), request, peer))))
         }
@@ -203,6 +210,7 @@
     let service = service_fn(move |mut request: Request<hyper::body::Incoming>| {
         let endpoint = endpoint.clone();
         let guard = ResponseGuard(pipeline.clone());
+        let leaving = endpoint.clone();
         pipeline.set_waited(request.headers_mut());
         ends.set(request.version() == Version::HTTP_10);
         async move {
@@ -211,7 +219,13 @@
                 None => Some(handle(endpoint, request, peer).await),
             };
             let internal_error = || empty_response(StatusCode::INTERNAL_SERVER_ERROR);
-            Ok::<_, Infallible>(response.unwrap_or_else(internal_error))
+            let mut response = response.unwrap_or_else(internal_error);
+            // Requests that were started early run already, and their answers would be lost.
+            if leaving.is_leaving() && !guard.0.has_started_behind() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
         }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
