One body for what has been read and what has not; the gate's reply apart

Change: node::chained_body serves both; what an ingress reads from a gate's response is in node::gate_reply. A runnable example for the memory of orders. No change of behaviour.

--- a/src/coordination/rollout/memory.rs
+++ b/src/coordination/rollout/memory.rs
@@ -88,6 +88,29 @@
 
     /// Compares an order that was read in an era with the last one for its service, and remembers
     /// it unless it is outdated. The decision about an order that was written again stays.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tarragoncourse::coordination::rollout::RolloutOrder;
+    /// use tarragoncourse::coordination::rollout::memory::{OrderChange, RolloutMemory};
+    /// use tarragoncourse::state::id::Path;
+    /// use tarragoncourse::state::member::TargetVersion;
+    /// use tarragoncourse::state::revision::Era;
+    /// use tokio::time::Instant;
+    ///
+    /// let order = RolloutOrder {
+    ///     service: Path::new("guild/services/shop").unwrap(),
+    ///     version: TargetVersion("v2".into()),
+    ///     duration: Duration::from_secs(120),
+    ///     revision: 7,
+    /// };
+    /// let rewritten = RolloutOrder { revision: 5, ..order.clone() };
+    /// let mut memory = RolloutMemory::default();
+    /// let now = Instant::now();
+    /// assert_eq!(memory.observe_order(&order, Era(0), now), OrderChange::New);
+    /// assert_eq!(memory.observe_order(&rewritten, Era(0), now), OrderChange::Outdated);
+    /// assert_eq!(memory.observe_order(&rewritten, Era(1), now), OrderChange::Rewritten);
+    /// ```
     pub fn observe_order(&mut self, order: &RolloutOrder, era: Era, now: Instant) -> OrderChange {
         let era_age = self.observe_era(era, now);
         let change = match self.orders.get(&order.service) {
--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -1,6 +1,7 @@
 //! Request bodies from callers: small ones are buffered so that the request can be retried, larger
 //! ones are streamed once.
 
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,6 +16,7 @@
 use hyper::header::CONTENT_LENGTH;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use super::chained_body::ChainedBody;
 use super::lock;
 use crate::protocol::dialect::header_number;
 use crate::transport::http::full_body;
@@ -127,11 +129,15 @@
     /// A body that is streamed: the bytes that have been read, and the rest.
     fn streamed(length: Option<u64>, read: Bytes, rest: Body) -> RequestBody {
         let prefix = read.slice(..read.len().min(PREFIX_BYTES));
-        let read = full_body(read);
+        let frames = match read.is_empty() {
+            true => VecDeque::new(),
+            false => VecDeque::from([Frame::data(read)]),
+        };
+        let rest = Some(rest);
         RequestBody::Streamed(Arc::new(Upload {
             length,
             prefix,
-            body: Mutex::new(Some(Body::new(ChainedBody { read, rest }))),
+            body: Mutex::new(Some(Body::new(ChainedBody { frames, rest }))),
             failed: AtomicBool::new(false),
         }))
     }
@@ -239,34 +245,3 @@
         }
     }
 }
-
-/// The bytes of a body that were already read, followed by the rest of it.
-struct ChainedBody {
-    read: Body,
-    rest: Body,
-}
-
-impl HttpBody for ChainedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if !self.read.is_end_stream() {
-            return Pin::new(&mut self.read).poll_frame(cx);
-        }
-        Pin::new(&mut self.rest).poll_frame(cx)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let (read, rest) = (self.read.size_hint(), self.rest.size_hint());
-        let mut hint = SizeHint::new();
-        hint.set_lower(read.lower() + rest.lower());
-        if let (Some(read), Some(rest)) = (read.upper(), rest.upper()) {
-            hint.set_upper(read + rest);
-        }
-        hint
-    }
-}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod api;
 mod attempt;
 mod body;
+mod chained_body;
 mod claims;
 pub mod config;
 mod control;
@@ -26,6 +27,7 @@
 mod fingerprint;
 mod freshness;
 mod gate;
+mod gate_reply;
 mod gate_response;
 mod gc;
 mod identity;
--- a/src/node/response_body.rs
+++ b/src/node/response_body.rs
@@ -18,6 +18,7 @@
 use hyper::Response;
 use tokio::time::{Instant, Sleep};
 
+use super::chained_body::ChainedBody;
 use crate::state::id::AttemptId;
 use crate::transport::http::{full_body, read_body};
 
@@ -55,71 +56,27 @@
         return buffer_sized_response(response).await;
     }
     let (parts, body) = response.into_parts();
-    let body = BufferedBody::read(body, Instant::now() + UNSIZED_BUFFER_TIME).await?;
+    let body = buffer_until(body, Instant::now() + UNSIZED_BUFFER_TIME).await?;
     Ok(Response::from_parts(parts, body))
 }
 
-/// The frames of a body that have been read, followed by the rest of it.
-struct BufferedBody {
-    frames: VecDeque<Frame<Bytes>>,
-    /// `None` if the body has ended.
-    rest: Option<Body>,
-}
-
-impl BufferedBody {
-    /// Reads a body until it ends, is too long, or `until` is reached.
-    async fn read(mut rest: Body, until: Instant) -> io::Result<Body> {
-        let (mut frames, mut bytes) = (VecDeque::new(), 0);
-        while bytes <= RESPONSE_BUFFER_MAX_BYTES {
-            let Ok(frame) = tokio::time::timeout_at(until, rest.frame()).await else {
-                break;
-            };
-            let Some(frame) = frame else {
-                return Ok(Body::new(BufferedBody { frames, rest: None }));
-            };
-            let frame = frame?;
-            bytes += frame.data_ref().map_or(0, |d| d.len() as u64);
-            frames.push_back(frame);
-        }
-        let rest = Some(rest);
-        Ok(Body::new(BufferedBody { frames, rest }))
-    }
-
-    /// Length of the body in bytes, if it has ended and has no trailers.
-    fn exact_length(&self) -> Option<u64> {
-        let length = |f: &Frame<Bytes>| f.data_ref().map(|d| d.len() as u64);
-        match self.rest {
-            Some(_) => None,
-            None => self.frames.iter().map(length).sum(),
-        }
-    }
-}
-
-impl HttpBody for BufferedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if let Some(frame) = self.frames.pop_front() {
-            return Poll::Ready(Some(Ok(frame)));
-        }
-        match &mut self.rest {
-            Some(rest) => Pin::new(rest).poll_frame(cx),
-            None => Poll::Ready(None),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.frames.is_empty() && self.rest.as_ref().is_none_or(HttpBody::is_end_stream)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.exact_length()
-            .map_or_else(SizeHint::default, SizeHint::with_exact)
+/// Reads a body until it ends, is too long, or `until` is reached. Returns what was read, followed by the
+/// rest.
+async fn buffer_until(mut rest: Body, until: Instant) -> io::Result<Body> {
+    let (mut frames, mut bytes) = (VecDeque::new(), 0);
+    while bytes <= RESPONSE_BUFFER_MAX_BYTES {
+        let Ok(frame) = tokio::time::timeout_at(until, rest.frame()).await else {
+            break;
+        };
+        let Some(frame) = frame else {
+            return Ok(Body::new(ChainedBody { frames, rest: None }));
+        };
+        let frame = frame?;
+        bytes += frame.data_ref().map_or(0, |d| d.len() as u64);
+        frames.push_back(frame);
     }
+    let rest = Some(rest);
+    Ok(Body::new(ChainedBody { frames, rest }))
 }
 
 /// A body that fails with a timeout [`END_GRACE`] after its deadline. What has arrived by then is still
