Hold a decision that was passed on for the rest of its time

The end of a roll-out could also be recorded for an era that began after the store had told it, so that this node would not have written it again. Change: a directive is held with its age; eras are taken before the calls. Result: a_decision_that_was_passed_on_is_held_for_the_rest_of_its_time and the other tests of the file pass.

--- a/src/coordination/rollout/guide.rs
+++ b/src/coordination/rollout/guide.rs
@@ -21,6 +21,8 @@
 pub struct HeldDirective {
     directive: Directive,
     received: Instant,
+    /// Age of the directive when it was received, by which it is held for a shorter time.
+    age: Duration,
 }
 
 /// Result of receiving a directive.
@@ -86,9 +88,15 @@
 impl HeldDirective {
     /// Holds the first directive of a roll-out.
     pub fn new(directive: Directive, received: Instant) -> HeldDirective {
+        HeldDirective::with_age(directive, Duration::ZERO, received)
+    }
+
+    /// Holds a directive that another node has held for some time.
+    pub fn with_age(directive: Directive, age: Duration, received: Instant) -> HeldDirective {
         HeldDirective {
             directive,
             received,
+            age,
         }
     }
 
@@ -122,7 +130,7 @@
             Mode::NewOnly => NEW_ONLY_RETENTION,
             Mode::OldOnly | Mode::Compare { .. } | Mode::Stopped => OLD_ONLY_RETENTION,
         };
-        now < self.received + retention
+        now < self.received + retention.saturating_sub(self.age)
     }
 
     /// Whether the directive is in force. A comparison ends if the deciding node is lost.
--- a/src/node/rollout.rs
+++ b/src/node/rollout.rs
@@ -47,13 +47,12 @@
 }
 
 impl Rollouts {
-    /// Takes over a directive that was received, or issued, at `at`, unless a newer one is held or it no
-    /// longer counts.
-    fn receive(&mut self, directive: &Directive, at: Instant, now: Instant) -> Reception {
+    /// Takes over a directive of some age, unless a newer one is held or it no longer counts.
+    fn receive(&mut self, directive: &Directive, age: Duration, now: Instant) -> Reception {
         if let Some(held) = self.held.get_mut(&directive.service) {
-            return held.receive(directive, at);
+            return held.receive(directive, now);
         }
-        let held = HeldDirective::new(directive.clone(), at);
+        let held = HeldDirective::with_age(directive.clone(), age, now);
         if !held.is_retained(now) {
             return Reception::Outdated;
         }
@@ -82,14 +81,14 @@
     }
 }
 
-/// Time from which the retention of a directive counts. Nodes pass a decision on to those that start
-/// later, so it counts from when the directive was issued. Other directives come from the deciding node
-/// alone, and count from when they are received: clocks differ.
-fn counted_from(directive: &Directive, now: Instant) -> Instant {
+/// Age of a directive that announces a decision. Nodes pass it on to those that start later, so its
+/// retention counts from when it was issued. Other directives come from the deciding node alone, and count
+/// from when they are received: clocks differ.
+fn decision_age(directive: &Directive) -> Duration {
     let age = WindowNumber::at(since_epoch()).since(directive.issued);
     match directive.mode.decision() {
-        Some(_) => now.checked_sub(WINDOW * age as u32).unwrap_or(now),
-        None => now,
+        Some(_) => WINDOW * u32::try_from(age).unwrap_or(u32::MAX),
+        None => Duration::ZERO,
     }
 }
 
@@ -119,7 +118,7 @@
     /// Takes over a directive of a deciding node, and passes it on if it is new.
     pub(super) fn handle_directive(&self, decider: SocketAddr, directive: &Directive) {
         let now = Instant::now();
-        let reception = lock(&self.rollouts).receive(directive, counted_from(directive, now), now);
+        let reception = lock(&self.rollouts).receive(directive, decision_age(directive), now);
         match reception {
             Reception::Accepted => {}
             Reception::Outdated => return,
--- a/src/node/rollout_decider.rs
+++ b/src/node/rollout_decider.rs
@@ -21,7 +21,7 @@
 use crate::protocol::wire_rollout::{decider_key, decode_state, encode_state, state_key};
 use crate::state::id::Path;
 use crate::state::member::Health;
-use crate::state::revision::{Lease, Revision};
+use crate::state::revision::{Era, Lease, Revision};
 use crate::transport::platform::Platform;
 
 /// Interval between looks for new orders. Only the holders of watcher slots look for them.
@@ -115,8 +115,8 @@
             let ended_at = decider.ended_at;
             if ended_at.is_some_and(|at| !losing || at.elapsed() >= FOLLOW_UP) {
                 log::info!("roll-out finished service={service} phase={phase}");
+                let era = decider.lease.era;
                 deciders.remove(service);
-                let era = self.platform.era();
                 lock(&self.rollout_memory).record_finished(order.id(), era);
                 return;
             }
@@ -179,11 +179,13 @@
         if !self.holds_slot() && lock(&self.deciders).is_empty() {
             return;
         }
+        // What a call returns may be of an earlier era than the one known after it.
+        let era = self.platform.era();
         let Ok(orders) = self.platform.rollout_orders().await else {
             return;
         };
         for order in orders {
-            if !self.observe_order(&order) {
+            if !self.observe_order(&order, era) {
                 continue;
             }
             let is_decided_here = lock(&self.deciders)
@@ -201,8 +203,7 @@
     }
 
     /// Compares an order with the last one for its service. Returns whether it is to be followed.
-    fn observe_order(&self, order: &RolloutOrder) -> bool {
-        let era = self.platform.era();
+    fn observe_order(&self, order: &RolloutOrder, era: Era) -> bool {
         let change = lock(&self.rollout_memory).observe_order(order, era, Instant::now());
         if matches!(change, OrderChange::Rewritten | OrderChange::Outdated) {
             log::info!(
@@ -232,12 +233,13 @@
 
     /// Acquires the lease of an order, and continues from what the store holds about it.
     async fn take_order(&self, order: RolloutOrder) -> StoreResult<()> {
+        let era = self.platform.era();
         let published = self.platform.rollout_status(&order).await?;
         // The versions that run by now may be others than those of the order.
         if let Some(decision) = published.and_then(RolloutStatus::decision) {
             let mut memory = lock(&self.rollout_memory);
             memory.record_decision(&order.service, order.id(), decision);
-            memory.record_finished(order.id(), self.platform.era());
+            memory.record_finished(order.id(), era);
             return Ok(());
         }
         let requested_at = Instant::now();
--- a/tests/test_rollout_restored.rs
+++ b/tests/test_rollout_restored.rs
@@ -205,3 +205,16 @@
         OrderChange::New
     );
 }
+
+/// Guards against a decision that nodes keep alive by passing it on to each other, and against one that is not
+/// held because the machine has started since it was issued.
+#[test]
+fn a_decision_that_was_passed_on_is_held_for_the_rest_of_its_time() {
+    let now = Instant::now();
+    for (mode, retention) in [(Mode::NewOnly, 60), (Mode::Stopped, 3600)] {
+        let age = Duration::from_secs(retention - 10);
+        let held = HeldDirective::with_age(directive(100, mode), age, now);
+        assert!(held.is_retained(now + Duration::from_secs(9)));
+        assert!(!held.is_retained(now + Duration::from_secs(10)));
+    }
+}
