--- a/review/rig-3/fleet.rs
+++ b/review/rig-3/fleet.rs
@@ -198,15 +198,15 @@
     fn start_one(&mut self, n: u8, platform: SocketAddr, plan: &ServerPlan) -> io::Result<()> {
         let pid = std::process::id().to_le_bytes();
         let ip = IpAddr::from(Ipv4Addr::new(127, 64 + pid[1] % 64, pid[0], n));
-        let address = || -> io::Result<SocketAddr> { TcpListener::bind((ip, 0))?.local_addr() };
-        let [outbound, inbound, ready, control, peers, app] = [
-            address()?,
-            address()?,
-            address()?,
-            address()?,
-            address()?,
-            address()?,
-        ];
+        // Held until all are chosen, so that no port is chosen twice.
+        let free = (0..6).map(|_| TcpListener::bind((ip, 0)));
+        let free = free.collect::<io::Result<Vec<_>>>()?;
+        let addresses = free.iter().map(TcpListener::local_addr);
+        let addresses = addresses.collect::<io::Result<Vec<_>>>()?;
+        let [outbound, inbound, ready, control, peers, app] = addresses[..] else {
+            return Err(io::Error::other("too few free ports"));
+        };
+        drop(free);
         let fields = [
             ("node_name", format!("sidecar-{n}")),
             ("zone", "matamata".to_string()),
