--- a/review/rig-3/fleet.rs
+++ b/review/rig-3/fleet.rs
@@ -67,6 +67,8 @@
     pub ready: SocketAddr,
     /// Address for liveness reports.
     pub control: SocketAddr,
+    /// Address of the server beside the node.
+    pub app: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     process: Child,
@@ -99,6 +101,8 @@
     pub fault: Fault,
     /// Id and start time, if the case itself sends the reports.
     pub identity: Option<(String, u64)>,
+    /// Whether the case itself starts the server.
+    pub manual: bool,
 }
 
 impl ServerPlan {
@@ -239,10 +243,14 @@
             outbound,
             ready,
             control,
+            app,
             settings,
             log,
             process,
         });
+        if plan.manual {
+            return Ok(());
+        }
         let server = self.start_server(&ServerOptions {
             service: plan.service.to_string(),
             listen: app,
@@ -257,11 +265,7 @@
     fn start_server(&self, options: &ServerOptions) -> io::Result<ServerProcess> {
         let args = options.to_args();
         let (record, stopping) = (self.record.clone(), self.stopping.clone());
-        let start = move || -> io::Result<Child> {
-            let mut command = Command::new(std::env::current_exe()?);
-            command.arg("server").args(&args);
-            command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn()
-        };
+        let start = move || spawn_server(&args);
         let process = Arc::new(Mutex::new(start()?));
         let shared = process.clone();
         std::thread::spawn(move || {
@@ -307,6 +311,41 @@
 /// Service of the route `/report/`.
 pub const REPORTS: &str = "xano55b";
 
+fn spawn_server(args: &[String]) -> io::Result<Child> {
+    let mut command = Command::new(std::env::current_exe()?);
+    command.arg("server").args(args);
+    command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn()
+}
+
+/// A server that a case starts. It is killed when this is dropped.
+pub struct ManualServer(Child);
+
+impl ManualServer {
+    /// Starts a server whose lines go to the record.
+    ///
+    /// # Errors
+    /// If the process cannot be started.
+    pub fn start(options: &ServerOptions, record: &Record) -> io::Result<ManualServer> {
+        let mut process = spawn_server(&options.to_args())?;
+        let (output, record) = (process.stdout.take(), record.clone());
+        std::thread::spawn(move || {
+            let lines = output.map(BufReader::new).into_iter();
+            lines
+                .flat_map(BufRead::lines)
+                .map_while(Result::ok)
+                .for_each(|l| record.add(&l));
+        });
+        Ok(ManualServer(process))
+    }
+}
+
+impl Drop for ManualServer {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 fn start_daemon(settings: &Path, log: &Path) -> io::Result<Child> {
     let out = File::options().create(true).append(true).open(log)?;
     Command::new(DAEMON)
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -2,6 +2,7 @@
 //! compiler alone; uses no library but the standard one.
 
 mod crash;
+mod earlier_start;
 mod fleet;
 mod http;
 mod json;
@@ -43,6 +44,7 @@
                 "truncated" => truncated::run(&folder, trouble),
                 "crash" => crash::run_streamed(&folder, trouble),
                 "crash-herd" => crash::run_herd(&folder, trouble),
+                "earlier-start" => earlier_start::run(&folder, trouble),
                 "leave" => leave::run(&folder, trouble),
                 _ => Err(std::io::Error::other(format!("unknown case {case}"))),
             };
