--- a/review/rig-3/earlier_start.rs
+++ b/review/rig-3/earlier_start.rs
@@ -16,7 +16,7 @@
 const AHEAD_MS: u64 = 2000;
 /// Time from the first start to the crash, and from there to the second start.
 const UNTIL_CRASH: Duration = Duration::from_millis(600);
-const DOWN: Duration = Duration::from_millis(900);
+const DOWN: Duration = Duration::from_millis(300);
 /// Time for which the server may still get requests after the acknowledgement.
 const DRAIN: Duration = Duration::from_millis(2000);
 /// Time budget of the requests, and the timeout of their routes.
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -9,6 +9,7 @@
 mod leave;
 mod pairs;
 mod server;
+mod smuggle;
 mod stop;
 mod store;
 mod truncated;
@@ -41,6 +42,7 @@
             let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
             let verdict = match case {
                 "stop" => stop::run(&folder, trouble),
+                "smuggle" => smuggle::run(&folder, trouble),
                 "truncated" => truncated::run(&folder, trouble),
                 "crash" => crash::run_streamed(&folder, trouble),
                 "crash-herd" => crash::run_herd(&folder, trouble),
