--- a/review/rig-3/earlier_start.rs
+++ b/review/rig-3/earlier_start.rs
@@ -21,8 +21,8 @@
 const DRAIN: Duration = Duration::from_millis(2000);
 /// Time budget of the requests, and the timeout of their routes.
 const DEADLINE_MS: u64 = 2000;
-/// Orders that are sent at the end, one at each node in turn.
-const ORDERS: usize = 60;
+/// Orders that are sent at the end, a few at each node.
+const ORDERS: usize = 16;
 
 pub fn run(folder: &Path, trouble: bool) -> io::Result<Verdict> {
     let manual = ServerPlan {
@@ -61,7 +61,7 @@
     fleet.record.add(&format!("{ID} has crashed"));
     std::thread::sleep(DOWN);
     let second = unix_millis();
-    let _server = start(second)?;
+    let mut server = start(second)?;
     let mut sequence = 1;
     let calm_at = fleet.record.now() + CONTACT + Duration::from_millis(500);
     while fleet.record.now() < calm_at {
@@ -69,26 +69,25 @@
         sequence += 1;
         std::thread::sleep(REPORT_INTERVAL);
     }
+    server.leave()?;
     if send_report(second, "draining", sequence)? != 200 {
         return Err(io::Error::other("the leave was not acknowledged"));
     }
     let acked_at = fleet.record.now();
     std::thread::sleep(DRAIN + Duration::from_millis(200));
-    for n in 0..ORDERS {
-        let node = &fleet.nodes[n % fleet.nodes.len()];
-        let text = request(
-            "POST",
-            "/order/slate",
-            &format!("order-{n}"),
-            DEADLINE_MS,
-            "x",
-        );
-        let answer = exchange(node.outbound, &text, Duration::from_secs(3));
-        let status = answer.map_or(0, |a| a.status());
-        fleet
-            .record
-            .add(&format!("sent order-{n} at {}: status {status}", node.name));
-    }
+    std::thread::scope(|scope| {
+        for n in 0..ORDERS {
+            let (fleet, node) = (&fleet, &fleet.nodes[n % fleet.nodes.len()]);
+            scope.spawn(move || {
+                let target = "/order/slate?work_ms=160";
+                let text = request("POST", target, &format!("order-{n}"), DEADLINE_MS, "x");
+                let answer = exchange(node.outbound, &text, Duration::from_secs(3));
+                let status = answer.map_or(0, |a| a.status());
+                let line = format!("sent order-{n} at {}: status {status}", node.name);
+                fleet.record.add(&line);
+            });
+        }
+    });
     let runs = fleet.record.lines("run order-");
     let is_late = |at: Duration, line: &str| at > acked_at + DRAIN && line.contains(ID);
     let count = runs.iter().filter(|(at, line)| is_late(*at, line)).count();
--- a/review/rig-3/fleet.rs
+++ b/review/rig-3/fleet.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::wait_for_ok;
-use crate::server::{Fault, ServerOptions};
+use crate::server::{Fault, LEAVE, ServerOptions};
 use crate::store::Store;
 
 /// Settings of a node, which the platform fills in.
@@ -99,8 +99,6 @@
 pub struct ServerPlan {
     pub service: &'static str,
     pub fault: Fault,
-    /// Id and start time, if the case itself sends the reports.
-    pub identity: Option<(String, u64)>,
     /// Whether the case itself starts the server.
     pub manual: bool,
 }
@@ -256,7 +254,7 @@
             listen: app,
             control,
             fault: plan.fault,
-            identity: plan.identity.clone(),
+            identity: None,
         })?;
         self.servers.push(server);
         Ok(())
@@ -265,7 +263,7 @@
     fn start_server(&self, options: &ServerOptions) -> io::Result<ServerProcess> {
         let args = options.to_args();
         let (record, stopping) = (self.record.clone(), self.stopping.clone());
-        let start = move || spawn_server(&args);
+        let start = move || spawn_server(&args, Stdio::null());
         let process = Arc::new(Mutex::new(start()?));
         let shared = process.clone();
         std::thread::spawn(move || {
@@ -311,9 +309,9 @@
 /// Service of the route `/report/`.
 pub const REPORTS: &str = "xano55b";
 
-fn spawn_server(args: &[String]) -> io::Result<Child> {
+fn spawn_server(args: &[String], stdin: Stdio) -> io::Result<Child> {
     let mut command = Command::new(std::env::current_exe()?);
-    command.arg("server").args(args);
+    command.arg("server").args(args).stdin(stdin);
     command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn()
 }
 
@@ -326,7 +324,7 @@
     /// # Errors
     /// If the process cannot be started.
     pub fn start(options: &ServerOptions, record: &Record) -> io::Result<ManualServer> {
-        let mut process = spawn_server(&options.to_args())?;
+        let mut process = spawn_server(&options.to_args(), Stdio::piped())?;
         let (output, record) = (process.stdout.take(), record.clone());
         std::thread::spawn(move || {
             let lines = output.map(BufReader::new).into_iter();
@@ -339,6 +337,19 @@
     }
 }
 
+impl ManualServer {
+    /// Tells the server that it leaves.
+    ///
+    /// # Errors
+    /// If the process has ended.
+    pub fn leave(&mut self) -> io::Result<()> {
+        match &mut self.0.stdin {
+            Some(stdin) => writeln!(stdin, "{LEAVE}"),
+            None => Err(io::ErrorKind::BrokenPipe.into()),
+        }
+    }
+}
+
 impl Drop for ManualServer {
     fn drop(&mut self) {
         let _ = self.0.kill();
--- a/review/rig-3/leave.rs
+++ b/review/rig-3/leave.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::fleet::{CONTACT, Fleet, SERVICE, ServerPlan, document, request};
+use crate::fleet::{CONTACT, Fleet, ManualServer, SERVICE, ServerPlan, document, request};
 use crate::http::exchange;
-use crate::server::{REPORT_INTERVAL, deregistration, report, unix_millis};
+use crate::server::{Fault, REPORT_INTERVAL, ServerOptions, deregistration, report, unix_millis};
 
 /// Id of the server that leaves.
 const LEAVING: &str = "i-1eaf1eaf";
@@ -22,15 +22,16 @@
 const DOWN: Duration = Duration::from_millis(1000);
 /// Time budget of the requests, and the timeout of their routes.
 const DEADLINE_MS: u64 = 2000;
-/// Orders that are sent at the end, one at each node in turn.
-const ORDERS: usize = 60;
+/// Orders that are sent at the end, a few at each node.
+const ORDERS: usize = 20;
 
 pub fn run(folder: &Path, trouble: bool) -> io::Result<Verdict> {
     let born = unix_millis();
     let leaving = ServerPlan {
-        identity: Some((LEAVING.to_string(), born)),
+        manual: true,
         ..ServerPlan::sound(SERVICE)
     };
+    let mut server = None;
     let mut servers = vec![leaving];
     servers.resize(5, ServerPlan::sound(SERVICE));
     let ended = Arc::new(AtomicBool::new(false));
@@ -40,6 +41,14 @@
         &document(DEADLINE_MS),
         &servers,
         |fleet| {
+            let options = ServerOptions {
+                service: SERVICE.to_string(),
+                listen: fleet.nodes[0].app,
+                control: fleet.nodes[0].control,
+                fault: Fault::None,
+                identity: Some((LEAVING.to_string(), born)),
+            };
+            server = ManualServer::start(&options, &fleet.record).ok();
             let (control, ended, last) = (fleet.nodes[0].control, ended.clone(), last.clone());
             std::thread::spawn(move || {
                 while !ended.load(Ordering::Acquire) {
@@ -59,6 +68,8 @@
         .record
         .add("the server sends a report that is delayed");
     let control = fleet.nodes[0].control;
+    let mut server = server.ok_or(io::ErrorKind::NotFound)?;
+    server.leave()?;
     let answer = exchange(
         control,
         &deregistration(LEAVING, born),
@@ -85,21 +96,19 @@
     ));
     fleet.wait_until_ready()?;
     std::thread::sleep(CONTACT);
-    for n in 0..ORDERS {
-        let node = &fleet.nodes[n % fleet.nodes.len()];
-        let text = request(
-            "POST",
-            "/order/slate",
-            &format!("order-{n}"),
-            DEADLINE_MS,
-            "x",
-        );
-        let answer = exchange(node.outbound, &text, Duration::from_secs(3));
-        let status = answer.map_or(0, |a| a.status());
-        fleet
-            .record
-            .add(&format!("sent order-{n} at {}: status {status}", node.name));
-    }
+    std::thread::scope(|scope| {
+        for n in 0..ORDERS {
+            let (fleet, node) = (&fleet, &fleet.nodes[n % fleet.nodes.len()]);
+            scope.spawn(move || {
+                let target = "/order/slate?work_ms=160";
+                let text = request("POST", target, &format!("order-{n}"), DEADLINE_MS, "x");
+                let answer = exchange(node.outbound, &text, Duration::from_secs(3));
+                let status = answer.map_or(0, |a| a.status());
+                let line = format!("sent order-{n} at {}: status {status}", node.name);
+                fleet.record.add(&line);
+            });
+        }
+    });
     let runs = fleet.record.lines("run order-");
     let is_late = |at: Duration, line: &str| at > acked_at + DRAIN && line.contains(LEAVING);
     let count = runs.iter().filter(|(at, line)| is_late(*at, line)).count();
--- a/review/rig-3/server.rs
+++ b/review/rig-3/server.rs
@@ -7,7 +7,7 @@
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Message, exchange, read_message};
@@ -23,6 +23,9 @@
 /// Slots that the server reports.
 const SLOTS: u32 = 14;
 
+/// Line by which a case tells a server that it leaves.
+pub const LEAVE: &str = "leave";
+
 /// What is wrong with a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Fault {
@@ -84,6 +87,8 @@
     born: u64,
     /// Number of answers in chunks so far.
     answers: AtomicUsize,
+    /// Whether the server leaves, which all its answers tell from then on.
+    leaving: AtomicBool,
 }
 
 /// Serves until the process is killed.
@@ -100,7 +105,10 @@
         born,
         options,
         answers: AtomicUsize::new(0),
+        leaving: AtomicBool::new(false),
     });
+    let told = server.clone();
+    std::thread::spawn(move || told.read_orders());
     let listener = TcpListener::bind(server.options.listen)?;
     if server.options.identity.is_none() {
         let reporting = server.clone();
@@ -114,6 +122,15 @@
 }
 
 impl Server {
+    /// Waits on the standard input for the line that says that the server leaves.
+    fn read_orders(&self) {
+        for line in io::stdin().lines().map_while(Result::ok) {
+            if line == LEAVE {
+                self.leaving.store(true, Ordering::Release);
+            }
+        }
+    }
+
     fn report(&self) {
         let options = &self.options;
         for sequence in 1u64.. {
@@ -149,8 +166,12 @@
             return stream.write_all(text.as_bytes());
         }
         println!("run {attempt} {} at {}", request.target(), self.id);
+        let leaving = match self.leaving.load(Ordering::Acquire) {
+            true => "server-leaving: 1\r\n",
+            false => "",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nx-attempt-id: {attempt}\r\nx-response-signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {attempt}\r\nx-response-signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n{leaving}"
         );
         let number = |name: &str| query_number(request.target(), name);
         let stream_time = number("stream_ms").map(Duration::from_millis);
