--- a/review/rig-3/earlier_start.rs
+++ b/review/rig-3/earlier_start.rs
@@ -22,7 +22,9 @@
 /// Time budget of the requests, and the timeout of their routes.
 const DEADLINE_MS: u64 = 2000;
 /// Orders that are sent at the end, a few at each node.
-const ORDERS: usize = 16;
+const ORDERS: usize = 32;
+/// Servers of the service. One of them crashes, a share of 0.125.
+const SERVERS: usize = 8;
 
 pub fn run(folder: &Path, trouble: bool) -> io::Result<Verdict> {
     let manual = ServerPlan {
@@ -30,7 +32,7 @@
         ..ServerPlan::sound(SERVICE)
     };
     let mut servers = vec![manual];
-    servers.resize(4, ServerPlan::sound(SERVICE));
+    servers.resize(SERVERS, ServerPlan::sound(SERVICE));
     let fleet = Fleet::start(&folder.join("record.txt"), &document(DEADLINE_MS), &servers)?;
     let node = &fleet.nodes[0];
     let start = |born| {
--- a/review/rig-3/truncated.rs
+++ b/review/rig-3/truncated.rs
@@ -10,9 +10,9 @@
 use crate::pairs::{count_lost, send_pair};
 use crate::server::Fault;
 
-/// Pairs of requests, and the time between two of them: six seconds in all.
-const PAIRS: usize = 660;
-const INTERVAL: Duration = Duration::from_millis(9);
+/// Pairs of requests, and the time between two of them: five seconds in all.
+const PAIRS: usize = 620;
+const INTERVAL: Duration = Duration::from_millis(8);
 /// Time budget of the requests, and the timeout of their routes.
 const DEADLINE_MS: u64 = 4000;
 /// A report whose server sends it in parts over 0.3 seconds.
